--- /dev/null
+++ b/include/chestnutsill/net/exchange.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "chestnutsill/net/fiber.h"
+#include "chestnutsill/net/http.h"
+
+#include <span>
+#include <string_view>
+
+namespace chestnutsill {
+
+/// One request of a caller and the way to answer it, either as a whole or as a stream. Functions that send
+/// return false once the caller can't be reached.
+class Exchange
+{
+public:
+    virtual ~Exchange() = default;
+
+    /// The request.
+    [[nodiscard]] virtual const HttpRequest &request() const noexcept = 0;
+
+    /// Sends a whole response.
+    virtual bool respond(int status, std::string_view contentType, std::string_view body,
+                         std::span<const HttpField> fields, const Fiber &fiber) = 0;
+
+    /// Sends the head of a streamed response.
+    virtual bool startStream(int status, std::string_view contentType, std::span<const HttpField> fields,
+                             const Fiber &fiber) = 0;
+
+    /// Sends a piece of a streamed response.
+    virtual bool sendPiece(std::string_view piece, const Fiber &fiber) = 0;
+
+    /// Ends a streamed response as whole.
+    virtual bool endStream(const Fiber &fiber) = 0;
+
+    /// Closes the connection without ending the response.
+    virtual void abort() = 0;
+
+    /// Whether the caller has closed its connection.
+    [[nodiscard]] virtual bool callerGone() = 0;
+};
+
+} // namespace chestnutsill
--- /dev/null
+++ b/include/chestnutsill/net/fiber.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <chrono>
+#include <exception>
+#include <functional>
+
+namespace chestnutsill {
+
+/// Context in which a fiber (stackful coroutine) suspends itself. A fiber runs on a strand of its own.
+using Fiber = boost::asio::yield_context;
+
+/// Starts a fiber. An exception that leaves it ends the process.
+inline void startFiber(boost::asio::io_context &io, std::function<void(Fiber)> body)
+{
+    boost::asio::spawn(boost::asio::make_strand(io), std::move(body), [](const std::exception_ptr &error) {
+        if (error)
+            std::rethrow_exception(error);
+    });
+}
+
+/// Suspends the fiber for a time.
+void sleepFor(std::chrono::milliseconds time, const Fiber &fiber);
+
+} // namespace chestnutsill
--- /dev/null
+++ b/include/chestnutsill/net/http.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chestnutsill {
+
+/// One HTTP header field.
+struct HttpField
+{
+    std::string name;
+    std::string value;
+};
+
+/// Why a request could not be read as a whole.
+struct HttpFault
+{
+    /// HTTP status code to answer with.
+    int status = 400;
+    std::string reason;
+    /// Part of the request at fault, for example `body`.
+    std::string field;
+    std::string message;
+};
+
+/// A request as read from a caller.
+struct HttpRequest
+{
+    std::string method;
+    std::string target;
+    std::vector<HttpField> fields;
+    std::string body;
+    /// Set when the request is not whole; the other members hold what was read.
+    std::optional<HttpFault> fault;
+
+    /// Value of a header field, or an empty text. Names are compared without regard to case.
+    [[nodiscard]] std::string_view field(std::string_view name) const noexcept;
+};
+
+/// Status and fields of a response.
+struct HttpHead
+{
+    int status = 0;
+    std::vector<HttpField> fields;
+
+    /// Value of a header field, or an empty text.
+    [[nodiscard]] std::string_view field(std::string_view name) const noexcept;
+};
+
+/// A whole response.
+struct HttpResponse
+{
+    HttpHead head;
+    std::string body;
+};
+
+} // namespace chestnutsill
--- /dev/null
+++ b/include/chestnutsill/net/mailbox.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "chestnutsill/net/fiber.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace chestnutsill {
+
+/// Carries one value from any thread to one waiting fiber. Later values are dropped.
+template<typename T>
+class Mailbox : public std::enable_shared_from_this<Mailbox<T>>
+{
+public:
+    /// A mailbox read by the fiber that runs on `executor`.
+    explicit Mailbox(const boost::asio::any_io_executor &executor)
+        : m_timer(executor)
+    {}
+
+    /// Delivers the value. Callable from any thread.
+    void put(T value)
+    {
+        boost::asio::post(m_timer.get_executor(),
+                          [self = this->shared_from_this(), value = std::move(value)]() mutable {
+                              if (self->m_value)
+                                  return;
+                              self->m_value = std::move(value);
+                              self->m_timer.cancel();
+                          });
+    }
+
+    /// Waits for the value. Returns nothing when it has not come within `timeout`; it may come later.
+    [[nodiscard]] std::optional<T> wait(std::chrono::milliseconds timeout, const Fiber &fiber)
+    {
+        if (!m_value) {
+            m_timer.expires_after(timeout);
+            boost::system::error_code ignored;
+            m_timer.async_wait(fiber[ignored]);
+        }
+        return m_value;
+    }
+
+private:
+    boost::asio::steady_timer m_timer;
+    std::optional<T> m_value;
+};
+
+} // namespace chestnutsill
--- /dev/null
+++ b/include/chestnutsill/observe/log.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace chestnutsill {
+
+/// Severity of a log line.
+enum class LogLevel { Debug, Info, Warning, Error };
+
+/// One member of a log line.
+struct LogField
+{
+    std::string_view name;
+    std::variant<std::string, std::int64_t, double, bool> value;
+};
+
+/// Writes log lines as JSON objects to standard error, one a line, from `minimum` up. Call once at start.
+void setUpLog(std::string_view instance, LogLevel minimum);
+
+/// Writes one line with time, level, instance, event and fields. Safe from any thread.
+void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+} // namespace chestnutsill
--- /dev/null
+++ b/include/chestnutsill/peer/peernode.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "chestnutsill/policy/answer.h"
+#include "chestnutsill/policy/peertypes.h"
+#include "chestnutsill/policy/pool.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace chestnutsill {
+
+/// How a call to a peer failed.
+enum class PeerFailure {
+    /// The connection was refused: no process listens at the address.
+    Refused,
+    /// No answer in time, or the connection broke.
+    Unreachable,
+};
+
+/// Result of a call to a peer: a value, or the kind of failure.
+template<typename T>
+struct PeerResult
+{
+    std::optional<T> value;
+    PeerFailure failure = PeerFailure::Unreachable;
+};
+
+/// What an instance does when a peer calls it. All run on the peer thread and must not block; those with a
+/// `done` may call it later from any thread, once.
+struct PeerHandlers
+{
+    std::function<Heartbeat(const Heartbeat &)> heartbeat;
+    std::function<PublishedText()> configuration;
+    std::function<void(const std::string &pool, Ask, std::function<void(Decision)> done)> ask;
+    std::function<void(const std::string &pool, const Release &)> release;
+    std::function<void(const HeldSlot &)> adopt;
+    std::function<void(ForwardedRequest, std::function<void(Answer)> done)> forward;
+    std::function<void(const CrashReport &)> crash;
+    std::function<void(std::uint64_t fingerprint)> cleared;
+};
+
+/// Calls between instances by Cap'n Proto RPC, on a thread of its own. Calls may be made from any thread;
+/// `done` runs on the peer thread and must not block. A link that times out is closed, so that a connection
+/// that the network has forgotten costs one bounded delay.
+class PeerNode
+{
+public:
+    template<typename T>
+    using Done = std::function<void(PeerResult<T>)>;
+    /// Result of calls that return nothing.
+    struct Nothing
+    {};
+
+    /// Listens on `address` (IP address and port). Throws `std::runtime_error` when it can't.
+    PeerNode(const std::string &address, PeerHandlers handlers);
+    ~PeerNode();
+
+    PeerNode(const PeerNode &) = delete;
+    PeerNode &operator=(const PeerNode &) = delete;
+
+    void heartbeat(const std::string &peer, Heartbeat own, std::chrono::milliseconds timeout,
+                   Done<Heartbeat> done);
+    void configuration(const std::string &peer, std::chrono::milliseconds timeout, Done<PublishedText> done);
+    void ask(const std::string &peer, std::string pool, Ask request, std::chrono::milliseconds timeout,
+             Done<Decision> done);
+    void release(const std::string &peer, std::string pool, Release ended, std::chrono::milliseconds timeout,
+                 Done<Nothing> done);
+    void adopt(const std::string &peer, HeldSlot held, std::chrono::milliseconds timeout, Done<Nothing> done);
+    void forward(const std::string &peer, ForwardedRequest request, std::chrono::milliseconds timeout,
+                 Done<Answer> done);
+    void crash(const std::string &peer, CrashReport report, std::chrono::milliseconds timeout,
+               Done<Nothing> done);
+    void cleared(const std::string &peer, std::uint64_t fingerprint, std::chrono::milliseconds timeout,
+                 Done<Nothing> done);
+
+    /// Processor time used by the peer thread.
+    [[nodiscard]] std::chrono::microseconds processorTime() const;
+
+    /// Bytes sent and received on peer links.
+    [[nodiscard]] std::uint64_t bytes() const noexcept;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace chestnutsill
--- /dev/null
+++ b/include/chestnutsill/policy/configuration.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "chestnutsill/policy/instant.h"
+#include "chestnutsill/policy/pool.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chestnutsill {
+
+/// A request class: its latency target, tier and whether its requests may be repeated.
+struct RequestClass
+{
+    std::string name;
+    /// 0 is the highest tier.
+    int tier = 0;
+    /// Model or plain service that answers the class.
+    std::string model;
+    /// From arrival to first token, or to the whole answer for a plain service.
+    milliseconds firstTokenTarget{1100};
+    /// From arrival to the end of the answer.
+    milliseconds deadline{60000};
+    /// False when a request must run at most once.
+    bool repeatable = true;
+    /// Volume that the forecast assumes.
+    std::uint64_t monthlyRequests = 0;
+    /// Mean tokens of a request and its answer that the forecast assumes.
+    std::uint64_t tokensPerRequest = 0;
+
+    friend bool operator==(const RequestClass &, const RequestClass &) = default;
+};
+
+/// A tier and the share of starts that no higher tier may take from it.
+struct Tier
+{
+    std::string name;
+    double floor = 0;
+
+    friend bool operator==(const Tier &, const Tier &) = default;
+};
+
+/// An availability zone.
+struct Zone
+{
+    std::string name;
+    bool out = false;
+
+    friend bool operator==(const Zone &, const Zone &) = default;
+};
+
+/// An upstream: a model engine or a plain service.
+struct Upstream
+{
+    std::string name;
+    /// IP address and port.
+    std::string address;
+    std::string zone;
+    std::string model;
+    int slots = 1;
+    int coldSlots = 1;
+    bool out = false;
+
+    friend bool operator==(const Upstream &, const Upstream &) = default;
+};
+
+/// The whole published configuration. A higher version replaces a lower one everywhere and for good.
+struct Configuration
+{
+    std::uint64_t version = 0;
+    std::string deployment;
+    std::vector<Tier> tiers;
+    std::vector<RequestClass> classes;
+    std::vector<std::string> accounts;
+    std::vector<Zone> zones;
+    std::vector<Upstream> upstreams;
+
+    friend bool operator==(const Configuration &, const Configuration &) = default;
+};
+
+/// The class of this name, or null.
+[[nodiscard]] const RequestClass *findClass(const Configuration &configuration,
+                                            std::string_view name) noexcept;
+
+/// The upstream of this name, or null.
+[[nodiscard]] const Upstream *findUpstream(const Configuration &configuration,
+                                           std::string_view name) noexcept;
+
+/// Whether the upstream and its availability zone are both in service.
+[[nodiscard]] bool isOpen(const Configuration &configuration, const Upstream &upstream) noexcept;
+
+/// Name of the pool of an upstream: `<model>/<zone>`.
+[[nodiscard]] std::string poolOf(const Upstream &upstream);
+
+/// Names of the pools that have an open upstream for this model, in a fixed order.
+[[nodiscard]] std::vector<std::string> openPools(const Configuration &configuration, std::string_view model);
+
+/// Names of all pools.
+[[nodiscard]] std::vector<std::string> allPools(const Configuration &configuration);
+
+/// The upstreams of one pool. Those named in `leaving` are closed.
+[[nodiscard]] std::vector<UpstreamSpec> poolSpecs(const Configuration &configuration, std::string_view pool,
+                                                  std::span<const std::string> leaving);
+
+/// Reserved share of each tier; zero for tiers that the configuration does not name.
+[[nodiscard]] std::array<double, TierCount> tierFloors(const Configuration &configuration) noexcept;
+
+} // namespace chestnutsill
--- /dev/null
+++ b/include/chestnutsill/policy/fairqueue.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "chestnutsill/policy/pooltypes.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chestnutsill {
+
+/// Waiting requests of one tier, shared fairly between client accounts by virtual time: an account with many
+/// waiting requests delays its own, not those of others.
+class FairQueue
+{
+public:
+    /// A waiting request and when it came.
+    struct Waiting
+    {
+        Ask ask;
+        Instant since{};
+    };
+
+    /// Decides whether a waiting request can be served now.
+    using Eligible = std::function<bool(const Ask &)>;
+
+    /// Adds a request behind the others of its account.
+    void push(Ask ask, Instant now);
+
+    /// Takes the eligible request whose account is furthest behind its share, within the forecast before
+    /// beyond it. Returns nothing when none is eligible.
+    [[nodiscard]] std::optional<Waiting> take(const Eligible &eligible);
+
+    /// Removes a request. Returns false when it does not wait here.
+    bool remove(const Ticket &ticket);
+
+    /// Removes and returns all requests whose `startBy` has passed.
+    [[nodiscard]] std::vector<Ask> removeLate(Instant now);
+
+    /// Removes all requests of a holder's other incarnations.
+    void removeOthers(const std::string &holder, std::uint64_t incarnation);
+
+    /// How many requests would be served before the next one of this account.
+    [[nodiscard]] std::size_t ahead(const std::string &account) const;
+
+    /// Number of waiting requests.
+    [[nodiscard]] std::size_t size() const noexcept { return m_size; }
+
+private:
+    struct Account
+    {
+        std::deque<Waiting> waiting;
+        double virtualTime = 0;
+    };
+
+    using Accounts = std::map<std::string, Account>;
+
+    template<typename Predicate>
+    std::vector<Ask> removeIf(Predicate predicate);
+    [[nodiscard]] Accounts::iterator bestAccount(const Eligible &eligible);
+
+    Accounts m_accounts;
+    double m_virtualTime = 0;
+    std::size_t m_size = 0;
+};
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/config/document.cpp
@@ -0,0 +1,267 @@
+#include "chestnutsill/config/document.h"
+
+#include "impl/reader.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <set>
+
+namespace chestnutsill {
+
+namespace {
+
+namespace json = boost::json;
+using impl::Reader;
+
+constexpr std::int64_t MaxSlots = 10'000;
+constexpr std::int64_t MaxLatencyMs = 600'000;
+constexpr std::int64_t MaxMonthly = 1'000'000'000'000;
+/// The highest tier keeps at least half of the starts.
+constexpr double MaxFloor = 0.5;
+
+bool isAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return false;
+    boost::system::error_code error;
+    boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
+    unsigned port = 0;
+    const std::string_view digits = text.substr(colon + 1);
+    const auto [stop, result] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    return !error && result == std::errc() && stop == digits.data() + digits.size() && port > 0
+           && port < 65536;
+}
+
+/// Records a fault for each name that stands twice in a list.
+class UniqueNames
+{
+public:
+    void check(Reader &reader, const std::string &name)
+    {
+        if (!name.empty() && !m_names.insert(name).second)
+            reader.fault("name", "stands twice");
+    }
+
+    [[nodiscard]] bool contains(const std::string &name) const { return m_names.contains(name); }
+
+private:
+    std::set<std::string> m_names;
+};
+
+void readTiers(Reader &document, Configuration &configuration, Faults &faults)
+{
+    double sum = 0;
+    document.list("tiers", 1, [&](const json::value &value, const std::string &path) {
+        Reader reader(value, path, faults);
+        Tier tier;
+        tier.name = reader.name("name");
+        tier.floor = reader.number("floor", 0, MaxFloor);
+        reader.refuseUnknown();
+        sum += tier.floor;
+        configuration.tiers.push_back(tier);
+    });
+    if (configuration.tiers.size() > static_cast<std::size_t>(TierCount))
+        document.fault("tiers", "must have at most 4 entries");
+    if (sum > MaxFloor)
+        document.fault("tiers", "floors must not add up to more than 0.5");
+}
+
+void readAccounts(Reader &document, Configuration &configuration, Faults &faults)
+{
+    UniqueNames names;
+    document.list("accounts", 1, [&](const json::value &value, const std::string &path) {
+        Reader reader(value, path, faults);
+        configuration.accounts.push_back(reader.name("name"));
+        names.check(reader, configuration.accounts.back());
+        reader.refuseUnknown();
+    });
+}
+
+UniqueNames readZones(Reader &document, Configuration &configuration, Faults &faults)
+{
+    UniqueNames names;
+    document.list("zones", 1, [&](const json::value &value, const std::string &path) {
+        Reader reader(value, path, faults);
+        Zone zone;
+        zone.name = reader.name("name");
+        zone.out = reader.flag("out");
+        names.check(reader, zone.name);
+        reader.refuseUnknown();
+        configuration.zones.push_back(zone);
+    });
+    return names;
+}
+
+void readUpstreams(Reader &document, Configuration &configuration, const UniqueNames &zones, Faults &faults)
+{
+    UniqueNames names;
+    document.list("upstreams", 1, [&](const json::value &value, const std::string &path) {
+        Reader reader(value, path, faults);
+        Upstream upstream;
+        upstream.name = reader.name("name");
+        names.check(reader, upstream.name);
+        upstream.address = reader.text("address");
+        if (!upstream.address.empty() && !isAddress(upstream.address))
+            reader.fault("address", "must be an IP address and a port");
+        upstream.zone = reader.name("zone");
+        if (!upstream.zone.empty() && !zones.contains(upstream.zone))
+            reader.fault("zone", "names no zone of the document");
+        upstream.model = reader.name("model");
+        upstream.slots = static_cast<int>(reader.integer("slots", 1, MaxSlots));
+        upstream.coldSlots = static_cast<int>(reader.integer("coldSlots", 1, MaxSlots));
+        if (upstream.coldSlots > upstream.slots)
+            reader.fault("coldSlots", "must not exceed slots");
+        upstream.out = reader.flag("out");
+        reader.refuseUnknown();
+        configuration.upstreams.push_back(upstream);
+    });
+}
+
+RequestClass readClass(Reader &reader, const Configuration &configuration)
+{
+    RequestClass item;
+    item.name = reader.name("name");
+    item.tier = static_cast<int>(reader.integer("tier", 0, TierCount - 1));
+    if (static_cast<std::size_t>(item.tier) >= configuration.tiers.size())
+        reader.fault("tier", "names no tier of the document");
+    item.model = reader.name("model");
+    item.firstTokenTarget = milliseconds(reader.integer("firstTokenMs", 1, MaxLatencyMs));
+    item.deadline = milliseconds(reader.integer("deadlineMs", 1, MaxLatencyMs));
+    if (item.deadline < item.firstTokenTarget)
+        reader.fault("deadlineMs", "must not be below firstTokenMs");
+    item.repeatable = reader.flag("repeatable");
+    item.monthlyRequests = static_cast<std::uint64_t>(reader.integer("monthlyRequests", 0, MaxMonthly));
+    item.tokensPerRequest = static_cast<std::uint64_t>(reader.integer("tokensPerRequest", 0, MaxMonthly));
+    return item;
+}
+
+bool hasModel(const Configuration &configuration, const std::string &model)
+{
+    for (const Upstream &upstream : configuration.upstreams) {
+        if (upstream.model == model)
+            return true;
+    }
+    return false;
+}
+
+void readClasses(Reader &document, Configuration &configuration, Faults &faults)
+{
+    UniqueNames names;
+    document.list("classes", 1, [&](const json::value &value, const std::string &path) {
+        Reader reader(value, path, faults);
+        configuration.classes.push_back(readClass(reader, configuration));
+        const RequestClass &item = configuration.classes.back();
+        names.check(reader, item.name);
+        if (!item.model.empty() && !hasModel(configuration, item.model))
+            reader.fault("model", "is served by no upstream of the document");
+        reader.refuseUnknown();
+    });
+}
+
+json::array classesToJson(const Configuration &configuration)
+{
+    json::array classes;
+    for (const RequestClass &item : configuration.classes) {
+        classes.push_back({{"name", item.name},
+                           {"tier", item.tier},
+                           {"model", item.model},
+                           {"firstTokenMs", item.firstTokenTarget.count()},
+                           {"deadlineMs", item.deadline.count()},
+                           {"repeatable", item.repeatable},
+                           {"monthlyRequests", item.monthlyRequests},
+                           {"tokensPerRequest", item.tokensPerRequest}});
+    }
+    return classes;
+}
+
+json::array upstreamsToJson(const Configuration &configuration)
+{
+    json::array upstreams;
+    for (const Upstream &item : configuration.upstreams) {
+        upstreams.push_back({{"name", item.name},
+                             {"address", item.address},
+                             {"zone", item.zone},
+                             {"model", item.model},
+                             {"slots", item.slots},
+                             {"coldSlots", item.coldSlots},
+                             {"out", item.out}});
+    }
+    return upstreams;
+}
+
+template<typename Item>
+bool setOut(std::vector<Item> &items, std::string_view name, bool out)
+{
+    for (Item &item : items) {
+        if (item.name != name)
+            continue;
+        item.out = out;
+        return true;
+    }
+    return false;
+}
+
+} // namespace
+
+std::optional<Configuration> parseConfiguration(std::string_view text, Faults &faults)
+{
+    const std::size_t before = faults.size();
+    const json::value value = impl::parseJson(text, faults);
+    if (faults.size() > before)
+        return std::nullopt;
+    Configuration configuration;
+    Reader document(value, "", faults);
+    configuration.version = static_cast<std::uint64_t>(document.integer("version", 1, MaxMonthly));
+    configuration.deployment = document.name("deployment");
+    readTiers(document, configuration, faults);
+    readAccounts(document, configuration, faults);
+    const UniqueNames zones = readZones(document, configuration, faults);
+    readUpstreams(document, configuration, zones, faults);
+    readClasses(document, configuration, faults);
+    document.refuseUnknown();
+    if (faults.size() > before)
+        return std::nullopt;
+    return configuration;
+}
+
+std::string writeConfiguration(const Configuration &configuration)
+{
+    json::array tiers;
+    for (const Tier &tier : configuration.tiers)
+        tiers.push_back({{"name", tier.name}, {"floor", tier.floor}});
+    json::array accounts;
+    for (const std::string &account : configuration.accounts)
+        accounts.push_back(json::object{{"name", account}});
+    json::array zones;
+    for (const Zone &zone : configuration.zones)
+        zones.push_back({{"name", zone.name}, {"out", zone.out}});
+    const json::value document = {{"version", configuration.version},
+                                  {"deployment", configuration.deployment},
+                                  {"tiers", std::move(tiers)},
+                                  {"accounts", std::move(accounts)},
+                                  {"zones", std::move(zones)},
+                                  {"upstreams", upstreamsToJson(configuration)},
+                                  {"classes", classesToJson(configuration)}};
+    return json::serialize(document);
+}
+
+std::optional<Configuration> withZone(Configuration base, std::string_view zone, bool out)
+{
+    if (!setOut(base.zones, zone, out))
+        return std::nullopt;
+    ++base.version;
+    return base;
+}
+
+std::optional<Configuration> withUpstream(Configuration base, std::string_view upstream, bool out)
+{
+    if (!setOut(base.upstreams, upstream, out))
+        return std::nullopt;
+    ++base.version;
+    return base;
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/config/reader.cpp
@@ -0,0 +1,135 @@
+#include "impl/reader.h"
+
+#include "chestnutsill/policy/requestid.h"
+
+namespace chestnutsill::impl {
+
+namespace json = boost::json;
+
+Reader::Reader(const json::value &value, std::string path, Faults &faults)
+    : m_object(value.if_object())
+    , m_path(std::move(path))
+    , m_faults(faults)
+{
+    if (m_object == nullptr)
+        m_faults.push_back({m_path.empty() ? "$" : m_path, "must be an object"});
+}
+
+std::string Reader::pathOf(std::string_view field) const
+{
+    return m_path.empty() ? std::string(field) : m_path + '.' + std::string(field);
+}
+
+void Reader::fault(std::string_view field, std::string_view message)
+{
+    m_faults.push_back({pathOf(field), std::string(message)});
+}
+
+const json::value *Reader::find(std::string_view field)
+{
+    if (m_object == nullptr)
+        return nullptr;
+    m_read.emplace(field);
+    return m_object->if_contains(field);
+}
+
+std::string Reader::text(std::string_view field)
+{
+    const json::value *value = find(field);
+    if (value == nullptr || !value->is_string() || value->get_string().empty()) {
+        fault(field, value == nullptr ? "is missing" : "must be a text that is not empty");
+        return {};
+    }
+    const auto &string = value->get_string();
+    return {string.data(), string.size()};
+}
+
+std::string Reader::name(std::string_view field)
+{
+    std::string value = text(field);
+    if (!value.empty() && !isValidName(value))
+        fault(field, "must be 1 to 64 letters, digits, hyphens or underscores");
+    return value;
+}
+
+std::int64_t Reader::integer(std::string_view field, std::int64_t min, std::int64_t max)
+{
+    const json::value *value = find(field);
+    if (value == nullptr) {
+        fault(field, "is missing");
+        return min;
+    }
+    json::error_code error;
+    const auto number = value->is_number() ? value->to_number<std::int64_t>(error) : min - 1;
+    if (error || number < min || number > max) {
+        fault(field, "must be a whole number from " + std::to_string(min) + " to " + std::to_string(max));
+        return min;
+    }
+    return number;
+}
+
+double Reader::number(std::string_view field, double min, double max)
+{
+    const json::value *value = find(field);
+    if (value == nullptr) {
+        fault(field, "is missing");
+        return min;
+    }
+    const double number = value->is_number() ? value->to_number<double>() : min - 1;
+    if (!(number >= min && number <= max)) {
+        fault(field, "must be a number from " + std::to_string(min) + " to " + std::to_string(max));
+        return min;
+    }
+    return number;
+}
+
+bool Reader::flag(std::string_view field)
+{
+    const json::value *value = find(field);
+    if (value == nullptr)
+        return false;
+    if (!value->is_bool()) {
+        fault(field, "must be true or false");
+        return false;
+    }
+    return value->get_bool();
+}
+
+void Reader::list(std::string_view field, std::size_t minSize,
+                  const std::function<void(const json::value &, const std::string &)> &each)
+{
+    const json::value *value = find(field);
+    if (value == nullptr || !value->is_array()) {
+        fault(field, value == nullptr ? "is missing" : "must be a list");
+        return;
+    }
+    const json::array &array = value->get_array();
+    if (array.size() < minSize)
+        fault(field, "needs at least " + std::to_string(minSize) + " entries");
+    for (std::size_t i = 0; i < array.size(); ++i)
+        each(array[i], pathOf(field) + '[' + std::to_string(i) + ']');
+}
+
+void Reader::refuseUnknown()
+{
+    if (m_object == nullptr)
+        return;
+    for (const auto &member : *m_object) {
+        const std::string key(member.key());
+        if (!m_read.contains(key))
+            fault(key, "is not a known field");
+    }
+}
+
+json::value parseJson(std::string_view text, Faults &faults)
+{
+    json::error_code error;
+    json::value value = json::parse({text.data(), text.size()}, error);
+    if (error) {
+        faults.push_back({"$", "is not valid JSON: " + error.message()});
+        return nullptr;
+    }
+    return value;
+}
+
+} // namespace chestnutsill::impl
--- /dev/null
+++ b/src/daemon/admin.cpp
@@ -0,0 +1,136 @@
+#include "daemon/admin.h"
+
+#include "chestnutsill/policy/requestid.h"
+
+#include <boost/json.hpp>
+
+#include <sys/resource.h>
+
+namespace chestnutsill {
+
+namespace {
+
+namespace json = boost::json;
+
+std::string_view stateName(ViewState state)
+{
+    switch (state) {
+    case ViewState::Starting:
+        return "starting";
+    case ViewState::Current:
+        return "current";
+    case ViewState::Stale:
+        return "stale";
+    }
+    return "stale";
+}
+
+json::object describeInstance(std::string_view name, std::string_view address, std::string_view prefix)
+{
+    return {{"name", std::string(name)},
+            {"address", std::string(address)},
+            {"requestIdPrefix", std::string(prefix)}};
+}
+
+json::array peersToJson(const ClusterView &view)
+{
+    json::array peers;
+    for (const auto &[name, peer] : view.peers()) {
+        json::object item{{"name", name},
+                          {"incarnation", std::to_string(peer.heartbeat.incarnation)},
+                          {"configVersion", peer.heartbeat.configVersion},
+                          {"ready", peer.heartbeat.ready},
+                          {"leaving", peer.heartbeat.leaving},
+                          {"refused", peer.refused}};
+        item["silentMs"] = peer.heardAt == Instant{} ? json::value(nullptr)
+                                                     : json::value((now() - peer.heardAt).count() / 1000);
+        peers.push_back(std::move(item));
+    }
+    return peers;
+}
+
+/// Resident memory at its highest, in KiB.
+long peakResidentKiB()
+{
+    rusage usage{};
+    ::getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+
+std::string metricsPage(const AdminParts &parts)
+{
+    std::string page = parts.metrics.exposition();
+    const auto gauge = [&](std::string_view name, auto value) {
+        page += "chestnutsill_" + std::string(name) + ' ' + std::to_string(value) + '\n';
+    };
+    gauge("held_slots", parts.capacity.heldCount());
+    gauge("active_requests", parts.activeRequests());
+    gauge("configuration_version", parts.view.published().version);
+    gauge("request_ids", parts.owner.size());
+    gauge("suspects", parts.suspects.size());
+    gauge("peer_thread_cpu_seconds_total", std::chrono::duration<double>(parts.controlTime()).count());
+    gauge("peak_resident_kib", peakResidentKiB());
+    return page;
+}
+
+} // namespace
+
+std::string addressAnswer(const AdminParts &parts)
+{
+    json::array instances;
+    const Heartbeat own = parts.gossip.own();
+    if (own.ready)
+        instances.push_back(describeInstance(own.name, own.address, own.requestIdPrefix));
+    for (const auto &[name, peer] : parts.view.peers()) {
+        const bool reachable = peer.heardAt != Instant{} && now() - peer.heardAt <= ClusterView::PeerSilence;
+        const Heartbeat &heartbeat = peer.heartbeat;
+        if (reachable && !peer.refused && heartbeat.ready)
+            instances.push_back(
+                describeInstance(heartbeat.name, heartbeat.address, heartbeat.requestIdPrefix));
+    }
+    return json::serialize(json::object{{"holdMs", parts.hold.count()}, {"instances", std::move(instances)}})
+           + '\n';
+}
+
+std::string stateDump(const AdminParts &parts)
+{
+    json::array members;
+    if (const auto list = parts.view.list()) {
+        for (const Member &member : list->members)
+            members.push_back({{"name", member.name}, {"zone", member.zone}, {"leaving", member.leaving}});
+    }
+    const json::object state{{"name", parts.identity.name},
+                             {"zone", parts.identity.zone},
+                             {"incarnation", std::to_string(parts.identity.incarnation)},
+                             {"leaving", parts.leaving.load()},
+                             {"view", std::string(stateName(parts.view.state(now())))},
+                             {"configVersion", parts.view.published().version},
+                             {"listCurrent", parts.view.isListCurrent(now())},
+                             {"members", std::move(members)},
+                             {"peers", peersToJson(parts.view)},
+                             {"activeRequests", parts.activeRequests()},
+                             {"heldSlots", parts.capacity.heldCount()},
+                             {"requestIds", parts.owner.size()},
+                             {"suspects", parts.suspects.size()},
+                             {"homeOf", json::parse(parts.homes.dump())}};
+    return json::serialize(state) + '\n';
+}
+
+void handleAdmin(const AdminParts &parts, Exchange &exchange, const Fiber &fiber)
+{
+    const std::string &target = exchange.request().target;
+    if (target == "/state") {
+        exchange.respond(200, "application/json", stateDump(parts), {}, fiber);
+    } else if (target == "/metrics") {
+        exchange.respond(200, "text/plain; version=0.0.4", metricsPage(parts), {}, fiber);
+    } else if (target == "/configuration") {
+        exchange.respond(200, "application/json", parts.view.published().text, {}, fiber);
+    } else if (target == "/health") {
+        const bool ready = parts.gossip.own().ready;
+        exchange.respond(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n", {}, fiber);
+    } else {
+        exchange.respond(404, "text/plain", "pages: /state /metrics /configuration /health\n", {}, fiber);
+    }
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/admin.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "chestnutsill/net/exchange.h"
+#include "chestnutsill/observe/metrics.h"
+#include "daemon/capacity.h"
+#include "daemon/clusterview.h"
+#include "daemon/gossip.h"
+#include "daemon/homes.h"
+#include "daemon/owner.h"
+#include "daemon/suspectregistry.h"
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+namespace chestnutsill {
+
+/// The parts that the operators' pages and the address answer show.
+struct AdminParts
+{
+    Identity identity;
+    milliseconds hold;
+    ClusterView &view;
+    Homes &homes;
+    Capacity &capacity;
+    Owner &owner;
+    SuspectRegistry &suspects;
+    Metrics &metrics;
+    Gossip &gossip;
+    const std::atomic<bool> &leaving;
+    std::function<int()> activeRequests;
+    std::function<std::chrono::microseconds()> controlTime;
+};
+
+/// Answers `GET /v1/addresses`: the instances to use, how long to keep the answer, and the prefix that each
+/// instance gives for request ids.
+[[nodiscard]] std::string addressAnswer(const AdminParts &parts);
+
+/// The whole state of the process as JSON.
+[[nodiscard]] std::string stateDump(const AdminParts &parts);
+
+/// Serves the operators' pages: `/state`, `/metrics`, `/configuration` and `/health`.
+void handleAdmin(const AdminParts &parts, Exchange &exchange, const Fiber &fiber);
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/capacity.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "chestnutsill/net/fiber.h"
+#include "chestnutsill/peer/peernode.h"
+#include "chestnutsill/policy/pooltypes.h"
+#include "daemon/clusterview.h"
+#include "daemon/homes.h"
+#include "daemon/identity.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chestnutsill {
+
+/// What a request needs capacity for.
+struct CapacityNeed
+{
+    std::string model;
+    int tier = 0;
+    std::string account;
+    std::uint64_t fingerprint = 0;
+    int strikes = 0;
+    /// Latest useful start.
+    Instant startBy{};
+    std::vector<std::string> avoid;
+    bool overForecast = false;
+};
+
+/// A grant held by this instance.
+struct HeldGrant
+{
+    Grant grant;
+    std::string pool;
+    /// Instant by which the send must begin.
+    Instant useBy{};
+};
+
+/// Obtains slots from the homes of pools, here or at peers, and gives them back. Safe from any thread.
+class Capacity
+{
+public:
+    Capacity(boost::asio::io_context &io, ClusterView &view, Homes &homes, Identity identity);
+
+    /// Connects to peers. Call once, before any other function.
+    void setPeers(PeerNode *peers) noexcept { m_peers = peers; }
+
+    /// Waits for a slot on an upstream of the model until `need.startBy`, or until `isAbandoned` returns
+    /// true. Pools are tried from the least loaded on. Returns the last refusal when there is none.
+    [[nodiscard]] std::variant<HeldGrant, RefusalReason>
+    acquire(const CapacityNeed &need, const std::function<bool()> &isAbandoned, const Fiber &fiber);
+
+    /// Gives a slot back. The home is told until it answers or has changed.
+    void release(const HeldGrant &held, const Release &ended);
+
+    /// Tells new homes what this instance holds in their pools. Call it at regular times.
+    void followHomes();
+
+    /// Number of slots held.
+    [[nodiscard]] std::size_t heldCount();
+
+private:
+    struct Holding
+    {
+        HeldSlot slot;
+        /// Name of the home that knows of it.
+        std::string home;
+    };
+
+    /// Order in which pools are tried, and the load by which they were ordered.
+    [[nodiscard]] std::vector<std::string> poolsByLoad(const CapacityNeed &need);
+    [[nodiscard]] std::variant<HeldGrant, RefusalReason> askPool(const std::string &pool,
+                                                                 const CapacityNeed &need,
+                                                                 const std::function<bool()> &isAbandoned,
+                                                                 const Fiber &fiber);
+    void sendAsk(const std::string &pool, const Member &home, const Ask &request,
+                 std::function<void(Decision)> done);
+    void sendRelease(const std::string &pool, const Release &ended, int triesLeft);
+
+    boost::asio::io_context &m_io;
+    ClusterView &m_view;
+    Homes &m_homes;
+    const Identity m_identity;
+    PeerNode *m_peers = nullptr;
+    std::atomic<std::uint64_t> m_nextTicket = 1;
+    std::mutex m_mutex;
+    std::map<Ticket, Holding> m_holdings;
+};
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/gossip.cpp
@@ -0,0 +1,107 @@
+#include "daemon/gossip.h"
+
+#include "chestnutsill/observe/log.h"
+#include "chestnutsill/policy/requestid.h"
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace chestnutsill {
+
+namespace {
+
+constexpr milliseconds HeartbeatPeriod{300};
+constexpr milliseconds HeartbeatTimeout{900};
+constexpr milliseconds FetchTimeout{2000};
+/// Most peers that one round of heartbeats goes to, whatever the size of the cluster.
+constexpr std::size_t Fanout = 8;
+
+} // namespace
+
+Gossip::Gossip(ClusterView &view, Homes &homes, Capacity &capacity, Identity identity,
+               const std::atomic<bool> &leaving)
+    : m_view(view)
+    , m_homes(homes)
+    , m_capacity(capacity)
+    , m_identity(std::move(identity))
+    , m_leaving(leaving)
+{}
+
+Heartbeat Gossip::own()
+{
+    Heartbeat heartbeat;
+    heartbeat.name = m_identity.name;
+    heartbeat.incarnation = m_identity.incarnation;
+    heartbeat.address = m_identity.address;
+    heartbeat.configVersion = m_view.published().version;
+    heartbeat.listDigest = m_view.listDigest();
+    heartbeat.leaving = m_leaving;
+    heartbeat.ready = !m_leaving && m_view.state(now()) == ViewState::Current;
+    heartbeat.requestIdPrefix = requestIdPrefix(m_identity.name, m_identity.incarnation, now());
+    heartbeat.pools = m_homes.summaries();
+    return heartbeat;
+}
+
+void Gossip::heard(const Heartbeat &heartbeat)
+{
+    m_view.heard(heartbeat, now());
+    m_homes.holderAlive(heartbeat.name, heartbeat.incarnation);
+    if (heartbeat.configVersion <= m_view.published().version)
+        return;
+    const auto list = m_view.list();
+    for (const Member &member : list ? list->members : std::vector<Member>{}) {
+        if (member.name == heartbeat.name)
+            fetchFrom(member.peerAddress);
+    }
+}
+
+void Gossip::fetchFrom(const std::string &peerAddress)
+{
+    m_peers->configuration(peerAddress, FetchTimeout, [this](const PeerResult<PublishedText> &result) {
+        if (result.value && result.value->version > m_view.published().version)
+            m_view.offer(result.value->text, now());
+    });
+}
+
+void Gossip::forEachPeer(const std::function<void(const Member &)> &each) const
+{
+    const auto list = m_view.list();
+    for (const Member &member : list ? list->members : std::vector<Member>{}) {
+        if (member.name != m_identity.name)
+            each(member);
+    }
+}
+
+void Gossip::sendTo(const Member &member)
+{
+    m_peers->heartbeat(member.peerAddress, own(), HeartbeatTimeout,
+                       [this, name = member.name](const PeerResult<Heartbeat> &result) {
+                           if (result.value && result.value->name == name) {
+                               heard(*result.value);
+                               return;
+                           }
+                           m_view.failed(name, result.failure);
+                           if (!result.value && result.failure == PeerFailure::Refused)
+                               m_homes.holderGone(name);
+                       });
+}
+
+void Gossip::run(const Fiber &fiber)
+{
+    std::mt19937_64 random(randomNumber());
+    for (;;) {
+        std::vector<Member> peers;
+        forEachPeer([&](const Member &member) { peers.push_back(member); });
+        std::shuffle(peers.begin(), peers.end(), random);
+        peers.resize(std::min(peers.size(), Fanout));
+        for (const Member &member : peers)
+            sendTo(member);
+        m_homes.holderAlive(m_identity.name, m_identity.incarnation);
+        m_capacity.followHomes();
+        m_view.confirmByPeers(now());
+        sleepFor(HeartbeatPeriod, fiber);
+    }
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/identity.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "chestnutsill/policy/instant.h"
+
+#include <cstdint>
+#include <string>
+
+namespace chestnutsill {
+
+/// Who this process is.
+struct Identity
+{
+    std::string name;
+    std::string zone;
+    /// Address for callers.
+    std::string address;
+    /// Random number drawn at start.
+    std::uint64_t incarnation = 0;
+};
+
+/// The clock of this process: it runs on while the process or its machine is stopped.
+[[nodiscard]] Instant now() noexcept;
+
+/// A random number from the system's source.
+[[nodiscard]] std::uint64_t randomNumber();
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/loadreport.cpp
@@ -0,0 +1,43 @@
+#include "daemon/loadreport.h"
+
+#include <boost/json.hpp>
+
+namespace chestnutsill {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds ReportTimeout{500};
+constexpr std::size_t MaxReport = 16'384;
+
+} // namespace
+
+std::optional<UpstreamReport> readLoadReport(HttpClient &client, const std::string &upstream,
+                                             const Fiber &fiber, std::string &reason)
+{
+    const auto response = client.call({.target = "/load"}, MaxReport, ReportTimeout, fiber);
+    if (!response) {
+        reason = client.lastReason();
+        return std::nullopt;
+    }
+    json::error_code error;
+    const json::value value = json::parse(response->body, error);
+    const json::object *report = error ? nullptr : value.if_object();
+    const json::value *incarnation = report != nullptr ? report->if_contains("incarnation") : nullptr;
+    const json::value *ready = report != nullptr ? report->if_contains("ready") : nullptr;
+    if (incarnation == nullptr || !incarnation->is_string() || ready == nullptr || !ready->is_bool()) {
+        reason = "load report without incarnation or ready";
+        return std::nullopt;
+    }
+    UpstreamReport result;
+    result.upstream = upstream;
+    result.incarnation = std::string(incarnation->get_string());
+    result.ready = ready->get_bool();
+    if (const json::value *running = report->if_contains("running");
+        running != nullptr && running->is_int64())
+        result.running = static_cast<int>(running->get_int64());
+    return result;
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/owner.cpp
@@ -0,0 +1,80 @@
+#include "daemon/owner.h"
+
+#include "chestnutsill/net/mailbox.h"
+#include "chestnutsill/policy/hash.h"
+#include "daemon/identity.h"
+
+namespace chestnutsill {
+
+namespace {
+
+constexpr std::string_view IdField = "chestnutsill-request-id";
+
+} // namespace
+
+Answer Owner::runOnce(const std::string &account, const RequestId &id, milliseconds timeout, const Run &run,
+                      const Fiber &fiber)
+{
+    const std::string key = account + '/' + toString(id);
+    Shard &shard = m_shards[stableHash(key) % ShardCount];
+    Claim claim = Claim::Full;
+    {
+        const std::lock_guard lock(shard.mutex);
+        claim = shard.ledger.claim(key, expiryOf(id), now());
+        if (claim == Claim::Replay)
+            return *shard.ledger.outcome(key);
+    }
+    if (claim == Claim::Join)
+        return join(shard, key, timeout, fiber);
+    if (claim == Claim::Expired)
+        return refusal(410, Verdict::MayHaveRun, "request-id-expired", IdField,
+                       "the id is past its lifetime and its outcome is not kept");
+    if (claim == Claim::Full)
+        return refusal(503, Verdict::MayHaveRun, "too-many-request-ids", IdField,
+                       "this instance can't keep another request id now");
+    Answer answer = run();
+    finish(shard, key, answer);
+    return answer;
+}
+
+Answer Owner::join(Shard &shard, const std::string &key, milliseconds timeout, const Fiber &fiber)
+{
+    auto mailbox = std::make_shared<Mailbox<Answer>>(fiber.get_executor());
+    {
+        const std::lock_guard lock(shard.mutex);
+        if (const Answer *outcome = shard.ledger.outcome(key))
+            return *outcome;
+        shard.waiters.emplace(key, [mailbox](Answer answer) { mailbox->put(std::move(answer)); });
+    }
+    if (auto answer = mailbox->wait(timeout, fiber))
+        return *answer;
+    return refusal(504, Verdict::MayHaveRun, "still-running", IdField,
+                   "the first request with this id still runs");
+}
+
+void Owner::finish(Shard &shard, const std::string &key, const Answer &answer)
+{
+    std::vector<std::function<void(Answer)>> waiters;
+    {
+        const std::lock_guard lock(shard.mutex);
+        shard.ledger.finish(key, answer);
+        const auto [first, last] = shard.waiters.equal_range(key);
+        for (auto it = first; it != last; ++it)
+            waiters.push_back(std::move(it->second));
+        shard.waiters.erase(first, last);
+    }
+    for (const auto &waiter : waiters)
+        waiter(answer);
+}
+
+std::size_t Owner::size()
+{
+    std::size_t size = 0;
+    for (Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        size += shard.ledger.size();
+    }
+    return size;
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/owner.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "chestnutsill/net/fiber.h"
+#include "chestnutsill/policy/answer.h"
+#include "chestnutsill/policy/ledger.h"
+#include "chestnutsill/policy/requestid.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace chestnutsill {
+
+/// Runs each request that this instance owns at most once. State is in shards by request id, each under its
+/// own lock. Safe from any thread.
+class Owner
+{
+public:
+    /// Runs the request and returns its outcome.
+    using Run = std::function<Answer()>;
+
+    /// Memory for all shards together.
+    static constexpr std::size_t MaxIds = 65536;
+    static constexpr std::size_t MaxBytes = 32 << 20;
+
+    /// Runs the request if its id has not been seen, else waits for or repeats its outcome. Ids of different
+    /// accounts are different. `timeout` bounds the wait for another run of the same id.
+    [[nodiscard]] Answer runOnce(const std::string &account, const RequestId &id, milliseconds timeout,
+                                 const Run &run, const Fiber &fiber);
+
+    /// Number of remembered ids.
+    [[nodiscard]] std::size_t size();
+
+private:
+    static constexpr std::size_t ShardCount = 16;
+
+    struct Shard
+    {
+        std::mutex mutex;
+        Ledger ledger{MaxIds / ShardCount, MaxBytes / ShardCount};
+        std::multimap<std::string, std::function<void(Answer)>> waiters;
+    };
+
+    [[nodiscard]] Answer join(Shard &shard, const std::string &key, milliseconds timeout, const Fiber &fiber);
+    static void finish(Shard &shard, const std::string &key, const Answer &answer);
+
+    std::array<Shard, ShardCount> m_shards;
+};
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/pipeline.cpp
@@ -0,0 +1,450 @@
+#include "daemon/pipeline.h"
+
+#include "chestnutsill/net/mailbox.h"
+#include "chestnutsill/observe/log.h"
+#include "chestnutsill/policy/suspects.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace chestnutsill {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view AccountField = "chestnutsill-account";
+constexpr std::string_view ClassField = "chestnutsill-class";
+constexpr std::string_view RequestIdField = "chestnutsill-request-id";
+constexpr std::string_view DeadlineField = "chestnutsill-deadline-ms";
+constexpr std::string_view ChatTarget = "/v1/chat/completions";
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr int MaxAttempts = 6;
+constexpr milliseconds ForwardMargin{1000};
+constexpr milliseconds RetryPause{50};
+
+/// Refuses a request that has not been sent. A request id that came with it may have run before, so only a
+/// request without one is said not to have run.
+Answer refuse(const Call &call, int status, std::string_view reason, std::string_view field,
+              std::string_view message)
+{
+    const Verdict verdict = call.requestIdText.empty() ? Verdict::NotRun : Verdict::MayHaveRun;
+    return refusal(status, verdict, reason, field, message);
+}
+
+std::string accountOf(const HttpRequest &request)
+{
+    const std::string_view named = request.field(AccountField);
+    if (!named.empty())
+        return std::string(named);
+    const std::string_view authorization = request.field("authorization");
+    if (authorization.substr(0, BearerPrefix.size()) == BearerPrefix)
+        return std::string(authorization.substr(BearerPrefix.size()));
+    return {};
+}
+
+const RequestClass *classOfModel(const Configuration &configuration, std::string_view model)
+{
+    for (const RequestClass &item : configuration.classes) {
+        if (item.repeatable && item.model == model)
+            return &item;
+    }
+    return nullptr;
+}
+
+std::string_view textOf(const json::object &object, std::string_view field)
+{
+    const json::value *value = object.if_contains(field);
+    if (value == nullptr || !value->is_string())
+        return {};
+    return {value->get_string().data(), value->get_string().size()};
+}
+
+int statusOf(RefusalReason reason)
+{
+    return reason == RefusalReason::Quarantined ? 422 : 503;
+}
+
+std::string messageOf(const Call &call, RefusalReason reason)
+{
+    const std::string &name = call.requestClass->name;
+    switch (reason) {
+    case RefusalReason::WouldBeLate:
+        return "demand of class " + name + "'s tier and of higher tiers would make the answer late";
+    case RefusalReason::WaitedTooLong:
+        return "no capacity came free for class " + name + " in time";
+    case RefusalReason::NoUpstream:
+        return "no upstream in service can take class " + name + " now";
+    case RefusalReason::HomeNotReady:
+        return "capacity for class " + name + " is being taken over by another instance";
+    case RefusalReason::Quarantined:
+        return "requests with this content were running when upstreams crashed";
+    }
+    return {};
+}
+
+} // namespace
+
+Pipeline::Pipeline(PipelineParts parts)
+    : m_parts(std::move(parts))
+{}
+
+void Pipeline::handle(Exchange &exchange, const Fiber &fiber)
+{
+    Call call;
+    call.arrivedAt = now();
+    call.isAbandoned = [&exchange] { return exchange.callerGone(); };
+    if (const auto refused = identify(call, exchange.request()))
+        return respond(exchange, call, *refused, fiber);
+    if (const auto refused = classify(call, exchange.request()))
+        return respond(exchange, call, *refused, fiber);
+    if (!call.requestClass->repeatable)
+        return respond(exchange, call, own(call, fiber), fiber);
+    if (call.stream)
+        return runStreamed(call, exchange, fiber);
+    respond(exchange, call, runWhole(call, fiber), fiber);
+}
+
+std::optional<Answer> Pipeline::identify(Call &call, const HttpRequest &request) const
+{
+    call.requestIdText = request.field(RequestIdField);
+    call.account = accountOf(request);
+    if (request.fault)
+        return refuse(call, request.fault->status, request.fault->reason, request.fault->field,
+                      request.fault->message);
+    if (m_parts.closed)
+        return refuse(call, 503, "leaving", "instance",
+                      "this instance is leaving; ask another for addresses");
+    call.configuration = m_parts.view.configuration();
+    if (!call.configuration)
+        return refuse(call, 503, "starting", "instance", "this instance has no configuration yet");
+    const auto &accounts = call.configuration->accounts;
+    if (std::find(accounts.begin(), accounts.end(), call.account) == accounts.end())
+        return refuse(call, 401, "unknown-account", AccountField,
+                      "name a client account in chestnutsill-account or as a bearer token");
+    return std::nullopt;
+}
+
+std::optional<Answer> Pipeline::classify(Call &call, const HttpRequest &request) const
+{
+    call.method = request.method;
+    call.target = request.target;
+    call.contentType = request.field("content-type");
+    call.body = request.body;
+    const std::string_view name = request.field(ClassField);
+    call.requestClass = findClass(*call.configuration, name);
+    if (!name.empty() && call.requestClass == nullptr)
+        return refuse(call, 400, "unknown-class", ClassField, "the configuration names no such class");
+    if (call.target == ChatTarget) {
+        json::error_code error;
+        const json::value body = json::parse({call.body.data(), call.body.size()}, error);
+        if (error || !body.is_object())
+            return refuse(call, 400, "malformed-body", "body", "the body must be a JSON object");
+        if (call.requestClass == nullptr)
+            call.requestClass = classOfModel(*call.configuration, textOf(body.get_object(), "model"));
+        const json::value *stream = body.get_object().if_contains("stream");
+        call.stream = stream != nullptr && stream->is_bool() && stream->get_bool();
+    }
+    if (call.requestClass == nullptr)
+        return refuse(call, 400, "unknown-class", ClassField, "name a class, or a model that a class uses");
+    const std::string_view deadline = request.field(DeadlineField);
+    if (!deadline.empty()) {
+        std::int64_t value = 0;
+        const char *end = deadline.data() + deadline.size();
+        const auto [stop, error] = std::from_chars(deadline.data(), end, value);
+        if (error != std::errc() || stop != end)
+            return refuse(call, 400, "malformed-deadline", DeadlineField,
+                          "must be a whole number of milliseconds");
+        if (value <= 0)
+            return refuse(call, 504, "deadline-past", DeadlineField, "the deadline has passed");
+        call.callerDeadline = milliseconds(value);
+    }
+    setBounds(call);
+    return std::nullopt;
+}
+
+void Pipeline::setBounds(Call &call) const
+{
+    const RequestClass &item = *call.requestClass;
+    const milliseconds deadline = std::min(call.callerDeadline.value_or(item.deadline), item.deadline);
+    call.endBy = call.arrivedAt + deadline;
+    const milliseconds start = item.repeatable ? std::min(item.firstTokenTarget, deadline) : deadline;
+    call.startBy = call.arrivedAt + start;
+    call.fingerprint = fingerprintOf(call.account, call.body);
+}
+
+Answer Pipeline::needRequestId() const
+{
+    return refusal(428, Verdict::NotRun, "request-id-needed", RequestIdField,
+                   "this class runs at most once: append a nonce of 8 to 64 characters to the prefix in "
+                   "chestnutsill-request-id-prefix and send it as chestnutsill-request-id");
+}
+
+Answer Pipeline::own(Call &call, const Fiber &fiber)
+{
+    if (call.requestIdText.empty())
+        return needRequestId();
+    std::string reason;
+    const auto id = parseRequestId(call.requestIdText, reason);
+    if (!id)
+        return refusal(400, Verdict::NotRun, "malformed-request-id", RequestIdField, reason);
+    if (id->owner != m_parts.identity.name)
+        return passToOwner(call, *id, fiber);
+    return runOwned(call, *id, fiber);
+}
+
+Answer Pipeline::runOwned(Call &call, const RequestId &id, const Fiber &fiber)
+{
+    if (id.incarnation != m_parts.identity.incarnation)
+        return refusal(409, Verdict::MayHaveRun, "owner-restarted", RequestIdField,
+                       "the instance that owned this id has restarted since");
+    call.startBy = std::min(call.startBy, expiryOf(id));
+    // The run goes on when the caller leaves, so that a resend finds the outcome.
+    call.isAbandoned = [] { return false; };
+    const auto timeout = std::chrono::duration_cast<milliseconds>(call.endBy - now());
+    return m_parts.owner.runOnce(
+        call.account, id, timeout, [&] { return runWhole(call, fiber); }, fiber);
+}
+
+Answer Pipeline::passToOwner(const Call &call, const RequestId &id, const Fiber &fiber)
+{
+    const auto unknown = [](std::string_view reason, std::string_view message) {
+        return refusal(504, Verdict::MayHaveRun, reason, RequestIdField, message);
+    };
+    const auto list = m_parts.view.list();
+    const Member *owner = nullptr;
+    for (const Member &member : list ? list->members : std::vector<Member>{}) {
+        if (member.name == id.owner)
+            owner = &member;
+    }
+    if (owner == nullptr)
+        return unknown("owner-gone", "the instance that owns this id is not in the list");
+    const auto timeout = std::chrono::duration_cast<milliseconds>(call.endBy - now()) + ForwardMargin;
+    auto mailbox = std::make_shared<Mailbox<PeerResult<Answer>>>(fiber.get_executor());
+    m_parts.peers.forward(
+        owner->peerAddress,
+        {call.requestIdText, call.account, call.requestClass->name, call.target, call.contentType, call.body},
+        timeout, [mailbox](PeerResult<Answer> result) { mailbox->put(std::move(result)); });
+    const auto result = mailbox->wait(timeout + ForwardMargin, fiber);
+    if (result && result->value)
+        return *result->value;
+    return unknown("owner-unreachable", "the instance that owns this id can't be reached");
+}
+
+void Pipeline::handleForwarded(ForwardedRequest forwarded, std::function<void(Answer)> done)
+{
+    startFiber(m_parts.io,
+               [this, forwarded = std::move(forwarded), done = std::move(done)](const Fiber &fiber) {
+                   HttpRequest request;
+                   request.method = "POST";
+                   request.target = forwarded.target;
+                   request.body = forwarded.body;
+                   request.fields = {{std::string(AccountField), forwarded.account},
+                                     {std::string(ClassField), forwarded.requestClass},
+                                     {std::string(RequestIdField), forwarded.requestId},
+                                     {"content-type", forwarded.contentType}};
+                   Call call;
+                   call.arrivedAt = now();
+                   if (const auto refused = identify(call, request))
+                       return done(*refused);
+                   if (const auto refused = classify(call, request))
+                       return done(*refused);
+                   std::string reason;
+                   const auto id = parseRequestId(call.requestIdText, reason);
+                   if (!id || id->owner != m_parts.identity.name)
+                       return done(refuse(call, 421, "not-the-owner", RequestIdField,
+                                          "this instance does not own the id"));
+                   const Answer answer = runOwned(call, *id, fiber);
+                   done(answer);
+               });
+}
+
+Answer Pipeline::runWhole(Call &call, const Fiber &fiber)
+{
+    Answer collected;
+    UpstreamSink sink;
+    sink.head = [&](const HttpHead &head) {
+        collected = {head.status, Verdict::MayHaveRun, std::string(head.field("content-type")), {}, {}};
+        return true;
+    };
+    sink.piece = [&](std::string_view piece) {
+        collected.body += piece;
+        return true;
+    };
+    Attempt last;
+    Answer answer = run(call, sink, last, fiber);
+    if (last.verdict == Verdict::Answered) {
+        collected.verdict = Verdict::Answered;
+        answer = std::move(collected);
+    }
+    account(call, answer, last);
+    return answer;
+}
+
+void Pipeline::runStreamed(Call &call, Exchange &exchange, const Fiber &fiber)
+{
+    bool started = false;
+    HttpHead upstreamHead;
+    UpstreamSink sink;
+    sink.head = [&](const HttpHead &head) {
+        upstreamHead = head;
+        return true;
+    };
+    sink.piece = [&](std::string_view piece) {
+        if (!started) {
+            started = true;
+            const std::array<HttpField, 1> fields{{{"chestnutsill-class", call.requestClass->name}}};
+            if (!exchange.startStream(upstreamHead.status, upstreamHead.field("content-type"), fields, fiber))
+                return false;
+        }
+        return exchange.sendPiece(piece, fiber) && !exchange.callerGone();
+    };
+    Attempt last;
+    const Answer answer = run(call, sink, last, fiber);
+    account(call, answer, last);
+    if (!started)
+        return respond(exchange, call, answer, fiber);
+    if (last.verdict == Verdict::Answered)
+        exchange.sendPiece(": chestnutsill-verdict answered\n\n", fiber);
+    else
+        exchange.sendPiece("event: error\ndata: " + answer.body + "\n", fiber);
+    exchange.endStream(fiber);
+}
+
+Answer Pipeline::run(Call &call, const UpstreamSink &sink, Attempt &last, const Fiber &fiber)
+{
+    {
+        const std::lock_guard lock(m_budgetMutex);
+        m_budget.earn();
+    }
+    CapacityNeed need{call.requestClass->model,
+                      call.requestClass->tier,
+                      call.account,
+                      call.fingerprint,
+                      0,
+                      call.startBy,
+                      {},
+                      false};
+    int crashes = 0;
+    bool mayHaveRun = false;
+    for (int tries = 0; tries < MaxAttempts; ++tries) {
+        need.strikes = std::max(m_parts.suspects.strikes(call.fingerprint), crashes);
+        const auto capacity = m_parts.capacity.acquire(need, call.isAbandoned, fiber);
+        if (const auto *reason = std::get_if<RefusalReason>(&capacity)) {
+            if (mayHaveRun)
+                break;
+            return refusal(statusOf(*reason), Verdict::NotRun, toString(*reason), "capacity",
+                           messageOf(call, *reason));
+        }
+        const auto &held = std::get<HeldGrant>(capacity);
+        last = attempt(call, held, sink, fiber);
+        m_parts.capacity.release(held,
+                                 {held.grant.ticket, last.outcome, last.incarnationSeen, last.firstToken});
+        if (last.verdict == Verdict::Answered) {
+            m_parts.suspects.sawCompletion(call.fingerprint);
+            return {last.status, Verdict::Answered, {}, {}, {}};
+        }
+        mayHaveRun = mayHaveRun || last.verdict == Verdict::MayHaveRun;
+        crashes += last.outcome == RunOutcome::Broken ? 1 : 0;
+        if (last.outcome == RunOutcome::Broken || last.outcome == RunOutcome::Silent)
+            need.avoid.push_back(held.grant.upstream);
+        if (!mayRetry(call, last))
+            break;
+        if (last.outcome == RunOutcome::NotStarted)
+            sleepFor(RetryPause, fiber);
+        m_parts.metrics.add("retries_total", last.verdict == Verdict::NotRun ? "not-run" : "repeatable");
+    }
+    const Verdict verdict = mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
+    return refusal(502, verdict, "upstream-failed", "upstream", last.reason);
+}
+
+bool Pipeline::mayRetry(const Call &call, const Attempt &attempt)
+{
+    if (now() >= call.startBy || attempt.outcome == RunOutcome::Cancelled)
+        return false;
+    if (attempt.verdict == Verdict::NotRun)
+        return true;
+    if (!call.requestClass->repeatable || attempt.relayed)
+        return false;
+    const std::lock_guard lock(m_budgetMutex);
+    return m_budget.spend();
+}
+
+Attempt Pipeline::attempt(const Call &call, const HeldGrant &held, const UpstreamSink &sink,
+                          const Fiber &fiber)
+{
+    UpstreamRequest request;
+    request.method = call.method;
+    request.target = call.target;
+    request.contentType = call.contentType;
+    request.body = call.body;
+    request.attemptId = call.requestIdText.empty()
+                            ? m_parts.identity.name + '-' + std::to_string(m_parts.identity.incarnation) + '-'
+                                  + std::to_string(m_nextAttempt++)
+                            : call.requestIdText;
+    request.tier = call.requestClass->tier;
+    request.stream = call.stream;
+    request.endBy = std::min(call.endBy, now() + MaxRunTime);
+    return callUpstream(
+        held, request, [&] { return mayStart(call, held); }, sink, fiber);
+}
+
+bool Pipeline::mayStart(const Call &call, const HeldGrant &held) const
+{
+    const Instant time = now();
+    if (time >= held.useBy || time >= call.startBy || time >= call.endBy)
+        return false;
+    if (m_parts.view.state(time) != ViewState::Current)
+        return false;
+    const auto configuration = m_parts.view.configuration();
+    const Upstream *upstream = findUpstream(*configuration, held.grant.upstream);
+    if (upstream == nullptr || !isOpen(*configuration, *upstream))
+        return false;
+    const auto list = m_parts.view.list();
+    const auto &leaving = list->leavingUpstreams;
+    return std::find(leaving.begin(), leaving.end(), upstream->name) == leaving.end();
+}
+
+void Pipeline::respond(Exchange &exchange, const Call &call, const Answer &answer, const Fiber &fiber) const
+{
+    std::vector<HttpField> fields{{"chestnutsill-verdict", std::string(toString(answer.verdict))}};
+    if (call.requestClass != nullptr)
+        fields.push_back({std::string(ClassField), call.requestClass->name});
+    if (!call.requestIdText.empty())
+        fields.push_back({std::string(RequestIdField), call.requestIdText});
+    if (answer.verdict == Verdict::NotRun && !m_parts.closed) {
+        const auto prefix = requestIdPrefix(m_parts.identity.name, m_parts.identity.incarnation, now());
+        fields.push_back({"chestnutsill-request-id-prefix", prefix});
+        if (answer.status == 503)
+            fields.push_back({"retry-after", "1"});
+    }
+    exchange.respond(answer.status, answer.contentType, answer.body, fields, fiber);
+    if (!answer.reason.empty())
+        log(LogLevel::Info, "request-refused",
+            {{"reason", answer.reason},
+             {"verdict", std::string(toString(answer.verdict))},
+             {"class", call.requestClass != nullptr ? call.requestClass->name : std::string()},
+             {"requestId", call.requestIdText}});
+}
+
+void Pipeline::account(const Call &call, const Answer &answer, const Attempt &last) const
+{
+    constexpr std::size_t BytesPerToken = 4;
+    Metrics::Request record;
+    record.requestClass = call.requestClass->name;
+    record.verdict = toString(answer.verdict);
+    record.reason = answer.reason;
+    record.whole = now() - call.arrivedAt;
+    const bool answered = answer.verdict == Verdict::Answered;
+    record.firstToken = answered ? last.firstByteAt - call.arrivedAt : Instant{};
+    record.attained = answered && record.firstToken <= call.requestClass->firstTokenTarget;
+    record.tokensIn = answered ? call.body.size() / BytesPerToken : 0;
+    record.tokensOut = answered ? last.tokens : 0;
+    record.tokensWasted = answered ? 0 : last.tokens;
+    m_parts.metrics.record(record);
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/platform.cpp
@@ -0,0 +1,68 @@
+#include "daemon/platform.h"
+
+#include "chestnutsill/net/httpclient.h"
+#include "chestnutsill/observe/log.h"
+
+#include <random>
+
+namespace chestnutsill {
+
+namespace {
+
+constexpr milliseconds WatchWait{1000};
+constexpr milliseconds WatchTimeout{2500};
+constexpr milliseconds ListPeriod{500};
+constexpr milliseconds ListTimeout{1000};
+constexpr milliseconds MinRetryPause{300};
+constexpr milliseconds MaxRetryPause{900};
+
+/// A random pause before the next try, so that instances which failed together don't retry together.
+milliseconds retryPause()
+{
+    thread_local std::mt19937_64 random(randomNumber());
+    return milliseconds(
+        std::uniform_int_distribution<int>(MinRetryPause.count(), MaxRetryPause.count())(random));
+}
+
+} // namespace
+
+void watchConfiguration(ClusterView &view, const std::string &service, const Fiber &fiber)
+{
+    for (;;) {
+        const std::uint64_t version = view.published().version;
+        const std::string target =
+            "/config?after=" + std::to_string(version) + "&waitMs=" + std::to_string(WatchWait.count());
+        std::string reason;
+        const auto response = fetch(service, {.target = target}, WatchTimeout, fiber, reason);
+        if (response && response->head.status == 200) {
+            view.offer(response->body, now());
+            // A document that is not newer is answered at once, so the next call must not follow at once.
+            if (view.published().version <= version)
+                sleepFor(WatchWait, fiber);
+        } else if (response && response->head.status == 304) {
+            view.confirmByService(now());
+        } else {
+            log(LogLevel::Debug, "configuration-service-failed", {{"reason", reason}});
+            sleepFor(retryPause(), fiber);
+        }
+    }
+}
+
+void readInstanceList(ClusterView &view, const std::string &service, const Fiber &fiber)
+{
+    for (;;) {
+        std::string reason;
+        const auto response = fetch(service, {.target = "/instances"}, ListTimeout, fiber, reason);
+        Faults faults;
+        auto list = response && response->head.status == 200 ? parseInstanceList(response->body, faults)
+                                                             : std::nullopt;
+        if (list && view.setList(std::move(*list), now()))
+            log(LogLevel::Info, "instance-list-changed", {});
+        if (!faults.empty())
+            log(LogLevel::Error, "instance-list-refused",
+                {{"path", faults[0].path}, {"reason", faults[0].message}});
+        sleepFor(ListPeriod, fiber);
+    }
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/settings.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace chestnutsill {
+
+/// Settings of the daemon, from flags and environment variables.
+struct Settings
+{
+    std::string name;
+    std::string zone;
+    /// IP address and port for callers, operators and peers.
+    std::string listen;
+    std::string adminListen;
+    std::string peerListen;
+    /// IP address and port of the platform's services.
+    std::string configService;
+    std::string instanceList;
+    int threads = 2;
+    /// How long callers may keep an address answer.
+    std::chrono::milliseconds hold{10000};
+    /// How long a leaving instance still accepts requests.
+    std::chrono::milliseconds drain{70000};
+    std::size_t maxBody = 1 << 20;
+    std::chrono::milliseconds readTimeout{10000};
+    std::string logLevel = "info";
+};
+
+/// What became of reading the settings.
+struct SettingsResult
+{
+    std::optional<Settings> settings;
+    /// Text for `--help` and `--version`, to be printed before a clean exit.
+    std::string output;
+    /// Everything that is wrong with the settings, one entry a setting.
+    std::vector<std::string> faults;
+};
+
+/// Reads settings: a flag goes before the environment variable `CHESTNUTSILL_<NAME>`, which goes before the
+/// default.
+[[nodiscard]] SettingsResult readSettings(std::span<const char *const> arguments);
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/upstreamcall.cpp
@@ -0,0 +1,158 @@
+#include "daemon/upstreamcall.h"
+
+#include "chestnutsill/net/httpclient.h"
+#include "daemon/identity.h"
+#include "daemon/loadreport.h"
+
+#include <algorithm>
+#include <array>
+
+namespace chestnutsill {
+
+namespace {
+
+constexpr milliseconds ConnectTimeout{400};
+constexpr milliseconds SendTimeout{2000};
+constexpr std::string_view EventMark = "data:";
+constexpr std::string_view DoneMark = "data: [DONE]";
+
+/// Counts the events of a stream, line by line, and notices its end mark.
+class EventScanner
+{
+public:
+    void scan(std::string_view piece)
+    {
+        m_line += piece;
+        std::size_t start = 0;
+        for (std::size_t end = 0; (end = m_line.find('\n', start)) != std::string::npos; start = end + 1)
+            scanLine(std::string_view(m_line).substr(start, end - start));
+        m_line.erase(0, start);
+    }
+
+    [[nodiscard]] bool done() const noexcept { return m_done; }
+    [[nodiscard]] std::uint64_t tokens() const noexcept { return m_tokens; }
+
+private:
+    void scanLine(std::string_view line)
+    {
+        if (line.substr(0, DoneMark.size()) == DoneMark)
+            m_done = true;
+        else if (line.substr(0, EventMark.size()) == EventMark)
+            ++m_tokens;
+    }
+
+    std::string m_line;
+    std::uint64_t m_tokens = 0;
+    bool m_done = false;
+};
+
+milliseconds remaining(Instant until)
+{
+    return std::max(std::chrono::duration_cast<milliseconds>(until - now()), milliseconds(1));
+}
+
+Attempt &fail(Attempt &attempt, RunOutcome outcome, std::string reason)
+{
+    attempt.outcome = outcome;
+    attempt.reason = std::move(reason);
+    return attempt;
+}
+
+/// Connects and checks the incarnation. Returns false, with the outcome set, when nothing may be sent.
+bool prepare(HttpClient &client, const HeldGrant &held, Attempt &attempt, const Fiber &fiber)
+{
+    if (!client.connect(held.grant.address, ConnectTimeout, fiber)) {
+        fail(attempt, RunOutcome::ConnectFailed, client.lastReason());
+        return false;
+    }
+    std::string reason;
+    const auto report = readLoadReport(client, held.grant.upstream, fiber, reason);
+    if (!report) {
+        fail(attempt, RunOutcome::ConnectFailed, reason);
+        return false;
+    }
+    if (report->incarnation != held.grant.incarnation) {
+        attempt.incarnationSeen = report->incarnation;
+        fail(attempt, RunOutcome::OtherIncarnation, "the upstream has restarted since the grant");
+        return false;
+    }
+    return true;
+}
+
+bool sendRequest(HttpClient &client, const UpstreamRequest &request, const Fiber &fiber)
+{
+    const std::array<HttpField, 3> fields{{{"content-type", std::string(request.contentType)},
+                                           {"x-request-id", request.attemptId},
+                                           {"x-priority", std::to_string(request.tier)}}};
+    return client.send({request.method, request.target, fields, request.body}, SendTimeout, fiber);
+}
+
+RunOutcome breakOutcome(const HttpClient &client)
+{
+    return client.timedOut() ? RunOutcome::Silent : RunOutcome::Broken;
+}
+
+void relayBody(HttpClient &client, const UpstreamRequest &request, const UpstreamSink &sink, Instant sentAt,
+               Attempt &attempt, const Fiber &fiber)
+{
+    EventScanner scanner;
+    for (;;) {
+        const auto piece = client.readPiece(std::min(request.silence, remaining(request.endBy)), fiber);
+        attempt.tokens = scanner.tokens();
+        if (!piece) {
+            fail(attempt, breakOutcome(client), client.lastReason());
+            return;
+        }
+        if (piece->empty())
+            break;
+        if (attempt.firstByteAt == Instant{}) {
+            attempt.firstByteAt = now();
+            attempt.firstToken = attempt.firstByteAt - sentAt;
+        }
+        scanner.scan(*piece);
+        attempt.tokens = scanner.tokens();
+        attempt.relayed = true;
+        if (!sink.piece(*piece)) {
+            fail(attempt, RunOutcome::Cancelled, "the caller has gone");
+            return;
+        }
+    }
+    if (request.stream && !scanner.done()) {
+        fail(attempt, RunOutcome::Broken, "the stream ended without its end mark");
+        return;
+    }
+    attempt.outcome = RunOutcome::Completed;
+    attempt.verdict = Verdict::Answered;
+}
+
+} // namespace
+
+Attempt callUpstream(const HeldGrant &held, const UpstreamRequest &request,
+                     const std::function<bool()> &mayStart, const UpstreamSink &sink, const Fiber &fiber)
+{
+    Attempt attempt;
+    HttpClient client;
+    if (!prepare(client, held, attempt, fiber))
+        return attempt;
+    if (!mayStart())
+        return fail(attempt, RunOutcome::NotStarted, "the grant may no longer be used");
+    const Instant sentAt = now();
+    attempt.verdict = Verdict::MayHaveRun;
+    if (!sendRequest(client, request, fiber))
+        return fail(attempt, breakOutcome(client), client.lastReason());
+    const milliseconds headTimeout =
+        request.stream ? std::min(request.silence, remaining(request.endBy)) : remaining(request.endBy);
+    const auto head = client.readHead(headTimeout, fiber);
+    if (!head)
+        return fail(attempt, breakOutcome(client), client.lastReason());
+    attempt.status = head->status;
+    const std::string_view echoed = head->field("x-request-id");
+    if (!echoed.empty() && echoed != request.attemptId)
+        return fail(attempt, RunOutcome::Broken, "the answer belongs to another request");
+    if (!sink.head(*head))
+        return fail(attempt, RunOutcome::Cancelled, "the caller has gone");
+    relayBody(client, request, sink, sentAt, attempt, fiber);
+    return attempt;
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,40 @@
+#include "chestnutsill/net/http.h"
+
+#include "chestnutsill/net/fiber.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/string.hpp>
+
+namespace chestnutsill {
+
+namespace {
+
+std::string_view findField(const std::vector<HttpField> &fields, std::string_view name) noexcept
+{
+    for (const HttpField &field : fields) {
+        if (boost::beast::iequals({field.name.data(), field.name.size()}, {name.data(), name.size()}))
+            return field.value;
+    }
+    return {};
+}
+
+} // namespace
+
+std::string_view HttpRequest::field(std::string_view name) const noexcept
+{
+    return findField(fields, name);
+}
+
+std::string_view HttpHead::field(std::string_view name) const noexcept
+{
+    return findField(fields, name);
+}
+
+void sleepFor(std::chrono::milliseconds time, const Fiber &fiber)
+{
+    boost::asio::steady_timer timer(fiber.get_executor(), time);
+    boost::system::error_code ignored;
+    timer.async_wait(fiber[ignored]);
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,316 @@
+#include "chestnutsill/net/httpserver.h"
+
+#include "impl/beast.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/socket_base.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <sys/socket.h>
+
+#include <stdexcept>
+
+namespace chestnutsill {
+
+using impl::asio::io_context;
+namespace beast = impl::beast;
+namespace http = impl::http;
+using impl::Tcp;
+
+struct HttpServer::State
+{
+    State(io_context &context, HttpLimits bounds, Handler onRequest)
+        : io(context)
+        , acceptor(boost::asio::make_strand(context))
+        , limits(bounds)
+        , handler(std::move(onRequest))
+    {}
+
+    io_context &io;
+    Tcp::acceptor acceptor;
+    HttpLimits limits;
+    Handler handler;
+    std::atomic<int> active = 0;
+};
+
+namespace {
+
+constexpr std::size_t MaxHeadBytes = 16'384;
+
+/// A caller's connection as an exchange. Lives as long as one request.
+class BeastExchange : public Exchange
+{
+public:
+    BeastExchange(beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, bool keepAlive)
+        : m_stream(stream)
+        , m_request(std::move(request))
+        , m_limits(limits)
+        , m_keepAlive(keepAlive)
+    {}
+
+    [[nodiscard]] const HttpRequest &request() const noexcept override { return m_request; }
+
+    bool respond(int status, std::string_view contentType, std::string_view body,
+                 std::span<const HttpField> fields, const Fiber &fiber) override
+    {
+        http::response<http::string_body> response(static_cast<http::status>(status), 11);
+        setFields(response, contentType, fields);
+        response.body().assign(body.data(), body.size());
+        response.prepare_payload();
+        boost::system::error_code error;
+        m_stream.expires_after(m_limits.writeTimeout);
+        http::async_write(m_stream, response, fiber[error]);
+        return noteResult(error);
+    }
+
+    bool startStream(int status, std::string_view contentType, std::span<const HttpField> fields,
+                     const Fiber &fiber) override
+    {
+        http::response<http::empty_body> response(static_cast<http::status>(status), 11);
+        setFields(response, contentType, fields);
+        response.chunked(true);
+        http::response_serializer<http::empty_body> serializer(response);
+        boost::system::error_code error;
+        m_stream.expires_after(m_limits.writeTimeout);
+        http::async_write_header(m_stream, serializer, fiber[error]);
+        m_inStream = true;
+        return noteResult(error);
+    }
+
+    bool sendPiece(std::string_view piece, const Fiber &fiber) override
+    {
+        if (piece.empty())
+            return !m_failed;
+        boost::system::error_code error;
+        m_stream.expires_after(m_limits.writeTimeout);
+        boost::asio::async_write(m_stream, http::make_chunk(boost::asio::buffer(piece.data(), piece.size())),
+                                 fiber[error]);
+        return noteResult(error);
+    }
+
+    bool endStream(const Fiber &fiber) override
+    {
+        boost::system::error_code error;
+        m_stream.expires_after(m_limits.writeTimeout);
+        boost::asio::async_write(m_stream, http::make_chunk_last(), fiber[error]);
+        m_inStream = false;
+        return noteResult(error);
+    }
+
+    void abort() override
+    {
+        boost::system::error_code ignored;
+        m_stream.socket().close(ignored);
+        m_failed = true;
+    }
+
+    [[nodiscard]] bool callerGone() override
+    {
+        char byte = 0;
+        const auto got = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
+    /// Whether the connection can serve another request.
+    [[nodiscard]] bool reusable() const noexcept
+    {
+        return m_keepAlive && !m_failed && !m_inStream && !m_request.fault;
+    }
+
+private:
+    template<typename Response>
+    void setFields(Response &response, std::string_view contentType, std::span<const HttpField> fields)
+    {
+        response.set(http::field::content_type, impl::toBeast(contentType));
+        for (const HttpField &field : fields)
+            response.set(field.name, field.value);
+        response.keep_alive(m_keepAlive && !m_request.fault);
+    }
+
+    bool noteResult(const boost::system::error_code &error)
+    {
+        m_failed = m_failed || error;
+        return !m_failed;
+    }
+
+    beast::tcp_stream &m_stream;
+    HttpRequest m_request;
+    const HttpLimits &m_limits;
+    bool m_keepAlive;
+    bool m_failed = false;
+    bool m_inStream = false;
+};
+
+using Parser = http::request_parser<http::string_body>;
+
+HttpFault faultOf(const boost::system::error_code &error)
+{
+    if (error == http::error::body_limit)
+        return {413, "body-too-large", "body", "the body is larger than this instance accepts"};
+    if (error == http::error::header_limit)
+        return {431, "head-too-large", "head", "the request line and header fields are too large"};
+    if (error == beast::error::timeout)
+        return {408, "request-too-slow", "request", "the request did not arrive in time"};
+    return {400, "malformed-request", "request", "the request is not valid HTTP/1.1: " + error.message()};
+}
+
+HttpRequest toRequest(Parser &parser)
+{
+    HttpRequest request;
+    auto &message = parser.get();
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.fields = impl::copyFields(message);
+    request.body = std::move(message.body());
+    return request;
+}
+
+/// Cancels reading after a time but, unlike the stream's own timeout, keeps the connection open for a reply.
+class ReadDeadline
+{
+public:
+    ReadDeadline(beast::tcp_stream &stream, std::chrono::milliseconds timeout)
+        : m_timer(stream.get_executor(), timeout)
+        , m_fired(std::make_shared<bool>(false))
+    {
+        stream.expires_never();
+        m_timer.async_wait([&stream, fired = m_fired](const boost::system::error_code &error) {
+            if (error)
+                return;
+            *fired = true;
+            boost::system::error_code ignored;
+            stream.socket().cancel(ignored);
+        });
+    }
+
+    /// Replaces the error of a cancelled read.
+    [[nodiscard]] boost::system::error_code translate(const boost::system::error_code &error) const
+    {
+        return error && *m_fired ? make_error_code(beast::error::timeout) : error;
+    }
+
+private:
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_fired;
+};
+
+/// Reads one request. Returns nothing when the connection ended before its first byte.
+std::optional<HttpRequest> readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, Parser &parser,
+                                       const HttpLimits &limits, const Fiber &fiber)
+{
+    parser.header_limit(MaxHeadBytes);
+    parser.body_limit(limits.maxBody);
+    boost::system::error_code error;
+    if (buffer.size() == 0) {
+        stream.expires_after(limits.idleTimeout);
+        const std::size_t size = stream.async_read_some(buffer.prepare(MaxHeadBytes), fiber[error]);
+        if (error)
+            return std::nullopt;
+        buffer.commit(size);
+    }
+    const ReadDeadline deadline(stream, limits.readTimeout);
+    http::async_read(stream, buffer, parser, fiber[error]);
+    error = deadline.translate(error);
+    HttpRequest request = toRequest(parser);
+    if (error)
+        request.fault = faultOf(error);
+    return request;
+}
+
+struct ActiveRequest
+{
+    explicit ActiveRequest(std::atomic<int> &active)
+        : count(active)
+    {
+        ++count;
+    }
+    ~ActiveRequest() { --count; }
+    ActiveRequest(const ActiveRequest &) = delete;
+    ActiveRequest &operator=(const ActiveRequest &) = delete;
+
+    std::atomic<int> &count;
+};
+
+template<typename State>
+void serve(State &state, beast::tcp_stream &stream, const Fiber &fiber)
+{
+    beast::flat_buffer buffer;
+    boost::system::error_code ignored;
+    stream.socket().set_option(Tcp::no_delay(true), ignored);
+    for (;;) {
+        Parser parser;
+        auto request = readRequest(stream, buffer, parser, state.limits, fiber);
+        if (!request)
+            break;
+        const ActiveRequest active(state.active);
+        BeastExchange exchange(stream, std::move(*request), state.limits, parser.get().keep_alive());
+        state.handler(exchange, fiber);
+        if (!exchange.reusable())
+            break;
+    }
+    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+template<typename StatePtr>
+void acceptLoop(const StatePtr &state, const Fiber &fiber)
+{
+    for (;;) {
+        boost::system::error_code error;
+        Tcp::socket socket(boost::asio::make_strand(state->io));
+        state->acceptor.async_accept(socket, fiber[error]);
+        if (error == boost::asio::error::operation_aborted || !state->acceptor.is_open())
+            return;
+        if (error) {
+            sleepFor(std::chrono::milliseconds(20), fiber);
+            continue;
+        }
+        const auto executor = socket.get_executor();
+        auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+        boost::asio::spawn(
+            executor, [state, stream](const Fiber &connection) { serve(*state, *stream, connection); },
+            boost::asio::detached);
+    }
+}
+
+} // namespace
+
+HttpServer::HttpServer(io_context &io, const std::string &address, HttpLimits limits, Handler handler)
+    : m_state(std::make_shared<State>(io, limits, std::move(handler)))
+{
+    const auto endpoint = impl::toEndpoint(address);
+    if (!endpoint)
+        throw std::runtime_error("cannot listen on " + address + ": not an IP address and port");
+    boost::system::error_code error;
+    m_state->acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        m_state->acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    if (!error)
+        m_state->acceptor.bind(*endpoint, error);
+    if (!error)
+        m_state->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        throw std::runtime_error("cannot listen on " + address + ": " + error.message());
+    boost::asio::spawn(
+        m_state->acceptor.get_executor(), [state = m_state](const Fiber &fiber) { acceptLoop(state, fiber); },
+        boost::asio::detached);
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+void HttpServer::stopAccepting()
+{
+    boost::asio::post(m_state->acceptor.get_executor(), [state = m_state] {
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+}
+
+int HttpServer::activeRequests() const noexcept
+{
+    return m_state->active;
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/peer/peerserver.cpp
@@ -0,0 +1,112 @@
+#include "impl/peerserver.h"
+
+#include "impl/convert.h"
+
+#include <ctime>
+#include <memory>
+
+namespace chestnutsill::impl {
+
+namespace {
+
+/// A promise whose value a handler delivers from any thread. Values that come after the call was dropped are
+/// ignored.
+template<typename T>
+struct Later
+{
+    kj::Promise<T> promise = nullptr;
+    std::function<void(T)> done;
+};
+
+template<typename T>
+Later<T> makeLater(const PostTask &post)
+{
+    auto pair = kj::newPromiseAndFulfiller<T>();
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(kj::mv(pair.fulfiller));
+    Later<T> later;
+    later.promise = kj::mv(pair.promise);
+    later.done = [post, fulfiller](T value) {
+        auto shared = std::make_shared<T>(std::move(value));
+        post([fulfiller, shared] { (*fulfiller)->fulfill(kj::mv(*shared)); });
+    };
+    return later;
+}
+
+std::string toString(capnp::Text::Reader text)
+{
+    return {text.begin(), text.size()};
+}
+
+} // namespace
+
+Instant monotonicNow() noexcept
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return seconds(time.tv_sec) + microseconds(time.tv_nsec / 1000);
+}
+
+PeerServer::PeerServer(const PeerHandlers &handlers, PostTask post)
+    : m_handlers(handlers)
+    , m_post(std::move(post))
+{}
+
+kj::Promise<void> PeerServer::heartbeat(HeartbeatContext context)
+{
+    const Heartbeat own = m_handlers.heartbeat(read(context.getParams().getOwn()));
+    write(context.getResults().initPeer(), own);
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::configuration(ConfigurationContext context)
+{
+    const PublishedText published = m_handlers.configuration();
+    context.getResults().setVersion(published.version);
+    context.getResults().setText(published.text.c_str());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::ask(AskContext context)
+{
+    auto params = context.getParams();
+    auto later = makeLater<Decision>(m_post);
+    m_handlers.ask(toString(params.getPool()), read(params.getRequest(), monotonicNow()), later.done);
+    return later.promise.then([context](const Decision &decision) mutable {
+        write(context.getResults().initDecision(), decision);
+    });
+}
+
+kj::Promise<void> PeerServer::release(ReleaseContext context)
+{
+    auto params = context.getParams();
+    m_handlers.release(toString(params.getPool()), read(params.getEnded()));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::adopt(AdoptContext context)
+{
+    m_handlers.adopt(read(context.getParams().getHeld()));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::forward(ForwardContext context)
+{
+    auto later = makeLater<Answer>(m_post);
+    m_handlers.forward(read(context.getParams().getRequest()), later.done);
+    return later.promise.then(
+        [context](const Answer &answer) mutable { write(context.getResults().initAnswer(), answer); });
+}
+
+kj::Promise<void> PeerServer::crash(CrashContext context)
+{
+    m_handlers.crash(read(context.getParams().getReport()));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::cleared(ClearedContext context)
+{
+    m_handlers.cleared(context.getParams().getFingerprint());
+    return kj::READY_NOW;
+}
+
+} // namespace chestnutsill::impl
--- /dev/null
+++ b/src/policy/pool.cpp
@@ -0,0 +1,446 @@
+#include "chestnutsill/policy/pool.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <utility>
+
+namespace chestnutsill {
+
+namespace {
+
+using Phase = UpstreamState::Phase;
+
+/// Remembered completed fingerprints; the set is emptied when full.
+constexpr std::size_t MaxCleared = 8192;
+/// Share of a new sample in a smoothed value.
+constexpr int SmoothingDivisor = 8;
+/// A first token this many times slower than usual is taken for a sign of cold start.
+constexpr int SlowFirstTokenFactor = 6;
+/// First tokens faster than this are never a sign of cold start.
+constexpr milliseconds SlowFirstTokenMinimum{500};
+
+Instant smooth(Instant value, Instant sample)
+{
+    if (value == Instant{})
+        return sample;
+    return value + (sample - value) / SmoothingDivisor;
+}
+
+void enterCold(UpstreamState &upstream)
+{
+    upstream.phase = Phase::Cold;
+    upstream.ramp = upstream.spec.coldSlots;
+}
+
+bool hasSuspect(const UpstreamState &upstream)
+{
+    return std::any_of(upstream.slots.begin(), upstream.slots.end(),
+                       [](const auto &slot) { return slot.second.suspect; });
+}
+
+bool runsFingerprint(const PoolState &pool, std::uint64_t fingerprint)
+{
+    return std::any_of(pool.upstreams.begin(), pool.upstreams.end(), [&](const auto &upstream) {
+        const auto &slots = upstream.second.slots;
+        return std::any_of(slots.begin(), slots.end(),
+                           [&](const auto &slot) { return slot.second.fingerprint == fingerprint; });
+    });
+}
+
+bool accepts(const PoolState &pool, const UpstreamState &upstream, const Ask &request)
+{
+    if (static_cast<int>(upstream.slots.size()) >= limitOf(pool, upstream))
+        return false;
+    if (std::find(request.avoid.begin(), request.avoid.end(), upstream.spec.name) != request.avoid.end())
+        return false;
+    return request.strikes == 0 || !hasSuspect(upstream);
+}
+
+/// Lower is better: load after the grant, weighted by how slow the upstream has been of late.
+double scoreOf(const PoolState &pool, const UpstreamState &upstream)
+{
+    const auto firstToken = static_cast<double>(std::max(upstream.firstToken, Instant(1000)).count());
+    const auto used = static_cast<double>(upstream.slots.size() + 1);
+    return used / limitOf(pool, upstream) * firstToken;
+}
+
+UpstreamState *chooseUpstream(PoolState &pool, const Ask &request)
+{
+    const bool unproven = !pool.cleared.contains(request.fingerprint);
+    if (unproven && runsFingerprint(pool, request.fingerprint))
+        return nullptr;
+    UpstreamState *best = nullptr;
+    double bestScore = std::numeric_limits<double>::max();
+    for (auto &[name, upstream] : pool.upstreams) {
+        if (!accepts(pool, upstream, request))
+            continue;
+        const double score = scoreOf(pool, upstream);
+        if (score < bestScore) {
+            best = &upstream;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+/// Tiers in the order in which the next free slot is offered: a lower tier whose floor is due goes first.
+std::array<int, TierCount> offerOrder(const PoolState &pool)
+{
+    std::array<int, TierCount> order{};
+    for (int tier = 0; tier < TierCount; ++tier)
+        order[static_cast<std::size_t>(tier)] = tier;
+    std::stable_sort(order.begin(), order.end(), [&](int a, int b) {
+        const bool aDue = pool.floorCredit[static_cast<std::size_t>(a)] >= 1;
+        const bool bDue = pool.floorCredit[static_cast<std::size_t>(b)] >= 1;
+        return aDue && !bDue;
+    });
+    return order;
+}
+
+void accrueFloors(PoolState &pool, std::size_t servedTier)
+{
+    for (std::size_t tier = 0; tier < TierCount; ++tier) {
+        if (tier == servedTier && pool.floorCredit[tier] >= 1)
+            pool.floorCredit[tier] -= 1;
+        else if (pool.queues[tier].size() > 0)
+            pool.floorCredit[tier] = std::min(pool.floorCredit[tier] + pool.floors[tier], 1.0);
+    }
+}
+
+bool grantNext(PoolState &pool, Instant now, std::vector<Decision> &decisions)
+{
+    for (const int tier : offerOrder(pool)) {
+        const auto index = static_cast<std::size_t>(tier);
+        FairQueue &queue = pool.queues[index];
+        if (queue.size() == 0)
+            continue;
+        const auto taken =
+            queue.take([&](const Ask &request) { return chooseUpstream(pool, request) != nullptr; });
+        if (!taken)
+            continue;
+        UpstreamState &upstream = *chooseUpstream(pool, taken->ask);
+        const Ask &request = taken->ask;
+        upstream.slots[request.ticket] = {tier, request.fingerprint, request.strikes > 0, now};
+        accrueFloors(pool, index);
+        decisions.emplace_back(Grant{request.ticket, upstream.spec.name, upstream.spec.address,
+                                     upstream.incarnation, now - taken->since});
+        return true;
+    }
+    return false;
+}
+
+void grantFree(PoolState &pool, Instant now, std::vector<Decision> &decisions)
+{
+    while (pool.mayGrant && grantNext(pool, now, decisions)) {
+    }
+}
+
+bool isKnown(const PoolState &pool, const Ticket &ticket)
+{
+    return std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
+                       [&](const auto &upstream) { return upstream.second.slots.contains(ticket); });
+}
+
+CrashReport crashOf(const UpstreamState &upstream)
+{
+    CrashReport crash{upstream.spec.name, upstream.incarnation, {}};
+    for (const auto &[ticket, slot] : upstream.slots)
+        crash.fingerprints.push_back(slot.fingerprint);
+    return crash;
+}
+
+void rampUp(UpstreamState &upstream)
+{
+    if (upstream.phase != Phase::Cold || !upstream.reportedReady)
+        return;
+    upstream.ramp = std::min(upstream.ramp + 1, upstream.spec.slots);
+    if (upstream.ramp == upstream.spec.slots)
+        upstream.phase = Phase::Warm;
+}
+
+void learnFirstToken(UpstreamState &upstream, Instant sample)
+{
+    if (sample == Instant{})
+        return;
+    const Instant usual = upstream.firstToken;
+    const bool slow =
+        usual != Instant{} && sample > usual * SlowFirstTokenFactor && sample > SlowFirstTokenMinimum;
+    if (slow && upstream.phase == Phase::Warm)
+        enterCold(upstream);
+    upstream.firstToken = smooth(usual, sample);
+}
+
+void applyOutcome(PoolState &pool, UpstreamState &upstream, const UpstreamState::Slot &slot,
+                  const Release &ended, Instant now)
+{
+    switch (ended.outcome) {
+    case RunOutcome::Completed:
+        learnFirstToken(upstream, ended.firstToken);
+        rampUp(upstream);
+        pool.holdTime = smooth(pool.holdTime, now - slot.grantedAt);
+        if (pool.cleared.size() >= MaxCleared)
+            pool.cleared.clear();
+        pool.cleared.insert(slot.fingerprint);
+        break;
+    case RunOutcome::OtherIncarnation:
+        if (ended.incarnationSeen != upstream.incarnation) {
+            upstream.incarnation = ended.incarnationSeen;
+            upstream.reportedReady = false;
+            enterCold(upstream);
+        }
+        break;
+    case RunOutcome::ConnectFailed:
+    case RunOutcome::Broken:
+    case RunOutcome::Silent:
+        upstream.needsReport = true;
+        break;
+    case RunOutcome::NotStarted:
+    case RunOutcome::Cancelled:
+        break;
+    }
+}
+
+template<typename Predicate>
+void freeSlots(PoolState &pool, Predicate isFreed)
+{
+    for (auto &entry : pool.upstreams) {
+        UpstreamState &upstream = entry.second;
+        std::erase_if(upstream.slots,
+                      [&](const auto &slot) { return isFreed(upstream, slot.first, slot.second); });
+    }
+}
+
+void takeBackSilent(PoolState &pool, Instant now)
+{
+    freeSlots(
+        pool, [&](const UpstreamState &upstream, const Ticket &ticket, const UpstreamState::Slot &slot) {
+            if (now - slot.grantedAt > MaxRunTime + GrantLife)
+                return true;
+            const auto contact = pool.lastContact.find(ticket.holder);
+            const Instant heard = contact == pool.lastContact.end() ? slot.grantedAt : contact->second;
+            return upstream.phase == Phase::Warm && now - std::max(heard, slot.grantedAt) > HolderSilence;
+        });
+}
+
+Instant retryAfter(const PoolState &pool)
+{
+    return std::clamp<Instant>(pool.holdTime / 2, milliseconds(200), seconds(5));
+}
+
+} // namespace
+
+std::string_view toString(RefusalReason reason) noexcept
+{
+    switch (reason) {
+    case RefusalReason::WouldBeLate:
+        return "would-be-late";
+    case RefusalReason::WaitedTooLong:
+        return "waited-too-long";
+    case RefusalReason::NoUpstream:
+        return "no-upstream";
+    case RefusalReason::HomeNotReady:
+        return "home-not-ready";
+    case RefusalReason::Quarantined:
+        return "quarantined";
+    }
+    return "no-upstream";
+}
+
+const Ticket &ticketOf(const Decision &decision) noexcept
+{
+    if (const auto *grant = std::get_if<Grant>(&decision))
+        return grant->ticket;
+    return std::get_if<Refusal>(&decision)->ticket;
+}
+
+void configure(PoolState &pool, std::span<const UpstreamSpec> specs,
+               const std::array<double, TierCount> &floors)
+{
+    pool.floors = floors;
+    std::set<std::string_view> wasOpen;
+    for (auto &[name, upstream] : pool.upstreams) {
+        if (std::exchange(upstream.spec.open, false))
+            wasOpen.insert(name);
+    }
+    for (const UpstreamSpec &spec : specs) {
+        UpstreamState &upstream = pool.upstreams[spec.name];
+        const bool known = !upstream.spec.name.empty();
+        const bool moved = known && upstream.spec.address != spec.address;
+        const bool returned = known && spec.open && !wasOpen.contains(spec.name);
+        upstream.spec = spec;
+        if (moved || (returned && upstream.phase == Phase::Warm)) {
+            enterCold(upstream);
+            upstream.needsReport = true;
+        }
+        upstream.ramp = std::min(upstream.ramp, spec.slots);
+    }
+    std::erase_if(pool.upstreams, [](const auto &upstream) {
+        return !upstream.second.spec.open && upstream.second.slots.empty();
+    });
+}
+
+int limitOf(const PoolState &pool, const UpstreamState &upstream) noexcept
+{
+    if (!upstream.spec.open || upstream.needsReport || upstream.incarnation.empty())
+        return 0;
+    if (upstream.phase == Phase::Warm)
+        return upstream.spec.slots;
+    if (!pool.mayGrantCold)
+        return 0;
+    return upstream.reportedReady ? upstream.ramp : std::min(upstream.ramp, upstream.spec.coldSlots);
+}
+
+int capacityOf(const PoolState &pool) noexcept
+{
+    int capacity = 0;
+    for (const auto &[name, upstream] : pool.upstreams)
+        capacity += limitOf(pool, upstream);
+    return capacity;
+}
+
+int inUse(const PoolState &pool) noexcept
+{
+    int used = 0;
+    for (const auto &[name, upstream] : pool.upstreams)
+        used += static_cast<int>(upstream.slots.size());
+    return used;
+}
+
+Instant predictedWait(const PoolState &pool, int tier, const std::string &account)
+{
+    const int capacity = capacityOf(pool);
+    if (capacity == 0)
+        return Instant::max();
+    double ahead = 0;
+    double share = 1;
+    for (int other = 0; other < TierCount; ++other) {
+        const FairQueue &queue = pool.queues[static_cast<std::size_t>(other)];
+        if (other < tier)
+            ahead += static_cast<double>(queue.size());
+        if (other == tier)
+            ahead += static_cast<double>(queue.ahead(account));
+        if (other > tier && queue.size() > 0)
+            share -= pool.floors[static_cast<std::size_t>(other)];
+    }
+    const double free = std::max(0, capacity - inUse(pool));
+    if (ahead < free)
+        return Instant{};
+    const double rounds = (ahead - free + 1) / (capacity * std::max(share, 0.05));
+    return Instant(static_cast<Instant::rep>(rounds * static_cast<double>(pool.holdTime.count())));
+}
+
+void ask(PoolState &pool, Ask request, Instant now, std::vector<Decision> &decisions)
+{
+    if (isKnown(pool, request.ticket))
+        return;
+    const auto refuse = [&](RefusalReason reason, Instant after) {
+        decisions.emplace_back(Refusal{request.ticket, reason, after});
+    };
+    if (request.strikes >= QuarantineStrikes)
+        return refuse(RefusalReason::Quarantined, seconds(60));
+    if (!pool.mayGrant)
+        return refuse(RefusalReason::HomeNotReady, milliseconds(500));
+    if (capacityOf(pool) == 0)
+        return refuse(RefusalReason::NoUpstream, milliseconds(500));
+    const Instant wait = predictedWait(pool, request.tier, request.account);
+    if (now + wait > request.startBy)
+        return refuse(RefusalReason::WouldBeLate, retryAfter(pool));
+    const auto tier = static_cast<std::size_t>(request.tier);
+    pool.queues[tier].push(std::move(request), now);
+    grantFree(pool, now, decisions);
+}
+
+std::optional<CrashReport> release(PoolState &pool, const Release &ended, Instant now,
+                                   std::vector<Decision> &decisions)
+{
+    std::optional<CrashReport> crash;
+    for (auto &[name, upstream] : pool.upstreams) {
+        const auto found = upstream.slots.find(ended.ticket);
+        if (found == upstream.slots.end())
+            continue;
+        if (ended.outcome == RunOutcome::Broken)
+            crash = crashOf(upstream);
+        applyOutcome(pool, upstream, found->second, ended, now);
+        upstream.slots.erase(found);
+        grantFree(pool, now, decisions);
+        return crash;
+    }
+    for (FairQueue &queue : pool.queues) {
+        if (queue.remove(ended.ticket))
+            break;
+    }
+    return crash;
+}
+
+std::optional<CrashReport> report(PoolState &pool, const UpstreamReport &report, Instant now,
+                                  std::vector<Decision> &decisions)
+{
+    const auto found = pool.upstreams.find(report.upstream);
+    if (found == pool.upstreams.end())
+        return std::nullopt;
+    UpstreamState &upstream = found->second;
+    std::optional<CrashReport> crash;
+    const bool restarted = !upstream.incarnation.empty() && upstream.incarnation != report.incarnation;
+    if (restarted && !upstream.slots.empty())
+        crash = crashOf(upstream);
+    if (restarted || !report.ready)
+        enterCold(upstream);
+    else if (upstream.phase == Phase::Unknown)
+        upstream.phase = Phase::Warm;
+    upstream.incarnation = report.incarnation;
+    upstream.reportedReady = report.ready;
+    upstream.needsReport = false;
+    grantFree(pool, now, decisions);
+    return crash;
+}
+
+void reportMissing(PoolState &pool, std::string_view upstream)
+{
+    const auto found = pool.upstreams.find(std::string(upstream));
+    if (found != pool.upstreams.end())
+        found->second.needsReport = true;
+}
+
+void adopt(PoolState &pool, const Ticket &ticket, std::string_view upstream, int tier,
+           std::uint64_t fingerprint, Instant now)
+{
+    const auto found = pool.upstreams.find(std::string(upstream));
+    if (found != pool.upstreams.end() && !isKnown(pool, ticket))
+        found->second.slots[ticket] = {tier, fingerprint, false, now};
+}
+
+void holderAlive(PoolState &pool, const std::string &holder, std::uint64_t incarnation, Instant now,
+                 std::vector<Decision> &decisions)
+{
+    pool.lastContact[holder] = now;
+    freeSlots(pool, [&](const UpstreamState &, const Ticket &ticket, const UpstreamState::Slot &) {
+        return ticket.holder == holder && ticket.incarnation != incarnation;
+    });
+    for (FairQueue &queue : pool.queues)
+        queue.removeOthers(holder, incarnation);
+    grantFree(pool, now, decisions);
+}
+
+void holderGone(PoolState &pool, const std::string &holder, Instant now, std::vector<Decision> &decisions)
+{
+    pool.lastContact.erase(holder);
+    freeSlots(pool, [&](const UpstreamState &, const Ticket &ticket, const UpstreamState::Slot &) {
+        return ticket.holder == holder;
+    });
+    for (FairQueue &queue : pool.queues)
+        queue.removeOthers(holder, 0);
+    grantFree(pool, now, decisions);
+}
+
+void tick(PoolState &pool, Instant now, std::vector<Decision> &decisions)
+{
+    takeBackSilent(pool, now);
+    for (FairQueue &queue : pool.queues) {
+        for (const Ask &late : queue.removeLate(now))
+            decisions.emplace_back(Refusal{late.ticket, RefusalReason::WaitedTooLong, retryAfter(pool)});
+    }
+    grantFree(pool, now, decisions);
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/policy/versionguard.cpp
@@ -0,0 +1,33 @@
+#include "chestnutsill/policy/versionguard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chestnutsill {
+
+bool VersionGuard::accept(Configuration configuration, std::string text)
+{
+    if (configuration.version <= version())
+        return false;
+    m_newestKnown = std::max(m_newestKnown, configuration.version);
+    m_current = std::make_shared<const Configuration>(std::move(configuration));
+    m_text = std::move(text);
+    return true;
+}
+
+void VersionGuard::confirm(std::uint64_t version, Instant now) noexcept
+{
+    m_newestKnown = std::max(m_newestKnown, version);
+    m_confirmedAt = now;
+}
+
+ViewState VersionGuard::state(Instant now) const noexcept
+{
+    if (!m_current || !m_peersAsked)
+        return ViewState::Starting;
+    const bool behind = m_newestKnown > version();
+    const bool old = now - m_confirmedAt > MaxAge;
+    return behind || old ? ViewState::Stale : ViewState::Current;
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/tests/config/documenttest.cpp
@@ -0,0 +1,139 @@
+#include "chestnutsill/config/document.h"
+#include "chestnutsill/config/instancelist.h"
+#include "chestnutsill/config/questionnaire.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace chestnutsill;
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char *Answers = R"({
+    "deployment": "test",
+    "zones": [{"name": "za"}, {"name": "zb"}],
+    "accounts": [{"name": "one"}],
+    "upstreams": [{"name": "u1", "address": "127.0.0.1:1", "zone": "za", "model": "m", "slots": 4, "coldSlots": 1}],
+    "classes": [{"name": "chat", "priority": "high", "model": "m", "firstTokenMs": 1000, "deadlineMs": 2000,
+                 "repeatable": true, "monthlyRequests": 10, "tokensPerRequest": 3}]})";
+
+Configuration generated()
+{
+    Faults faults;
+    auto configuration = generateConfiguration(Answers, faults);
+    REQUIRE(configuration);
+    return *configuration;
+}
+
+bool names(const Faults &faults, std::string_view path)
+{
+    return std::any_of(faults.begin(), faults.end(), [&](const Fault &fault) { return fault.path == path; });
+}
+
+} // namespace
+
+TEST_CASE("questionnaire: the generated configuration is written and read back unchanged")
+{
+    const Configuration configuration = generated();
+    CHECK(configuration.version == 1);
+    CHECK(configuration.classes[0].tier == 1);
+    Faults faults;
+    const auto again = parseConfiguration(writeConfiguration(configuration), faults);
+    REQUIRE(again);
+    CHECK(*again == configuration);
+    const auto rows = forecast(configuration);
+    REQUIRE(rows.size() == 1);
+    CHECK(rows[0].tokens == 30);
+}
+
+TEST_CASE("questionnaire: a bad answer is refused by its field")
+{
+    const std::pair<const char *, const char *> cases[] = {
+        {R"("priority": "high")", "classes[0].priority"},
+        {R"("repeatable": true,)", "classes[0].repeatable"},
+        {R"("slots": 4)", "upstreams[0].slots"},
+        {R"("firstTokenMs": 1000)", "classes[0].firstTokenMs"},
+        {R"("zone": "za")", "upstreams[0].zone"},
+        {R"("address": "127.0.0.1:1")", "upstreams[0].address"},
+        {R"("deployment": "test")", "deployment"},
+    };
+    const std::pair<const char *, const char *> replacements[] = {
+        {R"("priority": "high")", R"("priority": "urgent")"},
+        {R"("repeatable": true,)", ""},
+        {R"("slots": 4)", R"("slots": 0)"},
+        {R"("firstTokenMs": 1000)", R"("firstTokenMs": "soon")"},
+        {R"("zone": "za")", R"("zone": "zx")"},
+        {R"("address": "127.0.0.1:1")", R"("address": "host.example:1")"},
+        {R"("deployment": "test")", R"("deployment": "")"},
+    };
+    for (std::size_t i = 0; i < std::size(cases); ++i) {
+        std::string text = Answers;
+        text.replace(text.find(cases[i].first), std::string(cases[i].first).size(), replacements[i].second);
+        Faults faults;
+        CHECK_FALSE(generateConfiguration(text, faults));
+        CAPTURE(cases[i].second);
+        CHECK(names(faults, cases[i].second));
+    }
+}
+
+TEST_CASE("document: every fault is found at once, each with its path")
+{
+    Configuration configuration = generated();
+    configuration.upstreams[0].coldSlots = 9;
+    configuration.classes[0].model = "none";
+    configuration.classes.push_back(configuration.classes[0]);
+    json::value document = json::parse(writeConfiguration(configuration));
+    document.get_object()["surprise"] = 1;
+    document.get_object()["version"] = -1;
+    Faults faults;
+    CHECK_FALSE(parseConfiguration(json::serialize(document), faults));
+    for (const char *path :
+         {"version", "upstreams[0].coldSlots", "classes[0].model", "classes[1].name", "surprise"}) {
+        CAPTURE(path);
+        CHECK(names(faults, path));
+    }
+}
+
+TEST_CASE("document: text that is no JSON object is refused without harm")
+{
+    for (const char *text : {"", "{", "[]", "null", "\"x\"", "{\"version\":1e400}"}) {
+        CAPTURE(text);
+        Faults faults;
+        CHECK_FALSE(parseConfiguration(text, faults));
+        CHECK_FALSE(faults.empty());
+    }
+}
+
+TEST_CASE("document: a zone or upstream goes out and in by the next version")
+{
+    const Configuration base = generated();
+    const auto out = withZone(base, "za", true);
+    REQUIRE(out);
+    CHECK(out->version == 2);
+    CHECK_FALSE(isOpen(*out, out->upstreams[0]));
+    CHECK(isOpen(*withZone(*out, "za", false), out->upstreams[0]));
+    CHECK_FALSE(isOpen(*withUpstream(base, "u1", true), withUpstream(base, "u1", true)->upstreams[0]));
+    CHECK_FALSE(withZone(base, "nowhere", true));
+    CHECK_FALSE(withUpstream(base, "nothing", true));
+}
+
+TEST_CASE("instance list: members are sorted, leaving upstreams named, bad states refused")
+{
+    Faults faults;
+    const auto list = parseInstanceList(
+        R"({"entries":[{"name":"b","zone":"z","address":"127.0.0.1:1","peer":"127.0.0.1:2","state":"live"},
+                       {"name":"a","zone":"z","address":"127.0.0.1:3","peer":"127.0.0.1:4","state":"leaving"}],
+            "upstreams":[{"name":"u1","state":"leaving"},{"name":"u2","state":"live"}]})",
+        faults);
+    REQUIRE(list);
+    CHECK(list->members[0].name == "a");
+    CHECK(list->members[0].leaving);
+    CHECK(list->leavingUpstreams == std::vector<std::string>{"u1"});
+    CHECK_FALSE(parseInstanceList(R"({"entries":[],"upstreams":[{"name":"u","state":"gone"}]})", faults));
+    CHECK(names(faults, "upstreams[0].state"));
+}
