Bound the upstreams that one request can take down; integration tests with real processes

Cause: copies of a killing request that waited at a home kept the number of crashes known when they asked, so each was granted a fresh upstream right after a crash. Seen: 5 upstreams down with two pools and three copies at once; the bound is pools + 1 = 3.

Change: the home keeps crashes by fingerprint and applies them at the grant; a fingerprint that was running at a crash rests for 300 ms, so that the news of crashes at other pools comes first; a retry after a break waits as long.

--- a/include/chestnutsill/policy/fairqueue.h
+++ b/include/chestnutsill/policy/fairqueue.h
@@ -40,6 +40,9 @@
     /// Removes and returns all requests whose `startBy` has passed.
     [[nodiscard]] std::vector<Ask> removeLate(Instant now);
 
+    /// Removes and returns all requests for which the test holds.
+    [[nodiscard]] std::vector<Ask> removeWhere(const Eligible &test);
+
     /// Removes all requests of a holder's other incarnations.
     void removeOthers(const std::string &holder, std::uint64_t incarnation);
 
--- a/include/chestnutsill/policy/pool.h
+++ b/include/chestnutsill/policy/pool.h
@@ -8,6 +8,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -54,6 +55,15 @@
     std::map<Ticket, Slot> slots;
 };
 
+/// What the home knows of a fingerprint that was running when upstreams crashed.
+struct StruckState
+{
+    /// Crashes known of.
+    int strikes = 0;
+    /// When the last became known.
+    Instant at{};
+};
+
 /// Everything the home of a pool keeps. A pool is all upstreams of one model in one availability zone; its
 /// home is the one instance that grants their slots, so that one process sees all demand for them in one
 /// queue.
@@ -68,6 +78,8 @@
     Instant holdTime = seconds(2);
     /// Fingerprints that have completed and so need not run one at a time.
     std::unordered_set<std::uint64_t> cleared;
+    /// Fingerprints that were running when upstreams crashed.
+    std::unordered_map<std::uint64_t, StruckState> struck;
     std::map<std::string, Instant> lastContact;
     /// Whether the home may grant at all.
     bool mayGrant = false;
@@ -89,6 +101,9 @@
 inline constexpr seconds HolderSilence{5};
 /// Time within which a holder must start to use a grant.
 inline constexpr milliseconds GrantLife{1000};
+/// Time after a crash in which the requests that were running may not run again, so that the news of crashes
+/// at other pools arrives first.
+inline constexpr milliseconds SuspectDelay{300};
 /// Strikes at which a fingerprint is refused.
 inline constexpr int QuarantineStrikes = 2;
 
@@ -124,6 +139,11 @@
 /// Records that no report could be had; the upstream receives no work until one is.
 void reportMissing(PoolState &pool, std::string_view upstream);
 
+/// Takes in the number of crashes known for a fingerprint, none once a request of it has completed, and
+/// refuses waiting requests that reach quarantine.
+void setStrikes(PoolState &pool, std::uint64_t fingerprint, int strikes, Instant now,
+                std::vector<Decision> &decisions);
+
 /// Registers a slot that a holder was granted by the pool's former home.
 void adopt(PoolState &pool, const Ticket &ticket, std::string_view upstream, int tier,
            std::uint64_t fingerprint, Instant now);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -43,8 +43,10 @@
         , m_io(settings.threads)
         , m_signals(m_io, SIGTERM, SIGINT)
         , m_view(m_identity.name)
-        , m_suspects([this](const CrashReport &crash) { tellCrash(crash); },
-                     [this](std::uint64_t fingerprint) { tellCleared(fingerprint); })
+        , m_suspects(
+              [this](const CrashReport &crash) { tellCrash(crash); },
+              [this](std::uint64_t fingerprint) { tellCleared(fingerprint); },
+              [this](std::uint64_t fingerprint, int strikes) { m_homes.setStrikes(fingerprint, strikes); })
         , m_homes(m_io, m_view, m_identity, [this](const CrashReport &crash) { m_suspects.sawCrash(crash); })
         , m_capacity(m_io, m_view, m_homes, m_identity)
         , m_gossip(m_view, m_homes, m_capacity, m_identity, m_leaving)
--- a/src/daemon/homes.cpp
+++ b/src/daemon/homes.cpp
@@ -132,6 +132,15 @@
     }
 }
 
+void Homes::setStrikes(std::uint64_t fingerprint, int strikes)
+{
+    for (const auto &pool : all()) {
+        update(*pool, [&](PoolState &state, Instant time, std::vector<Decision> &decisions) {
+            chestnutsill::setStrikes(state, fingerprint, strikes, time, decisions);
+        });
+    }
+}
+
 void Homes::holderAlive(const std::string &holder, std::uint64_t incarnation)
 {
     for (const auto &pool : all()) {
--- a/src/daemon/homes.h
+++ b/src/daemon/homes.h
@@ -36,6 +36,9 @@
     /// Registers a slot granted by the pool's former home.
     void adopt(const HeldSlot &held);
 
+    /// Tells all pools the number of crashes known for a fingerprint.
+    void setStrikes(std::uint64_t fingerprint, int strikes);
+
     /// Records contact with an instance.
     void holderAlive(const std::string &holder, std::uint64_t incarnation);
 
--- a/src/daemon/pipeline.cpp
+++ b/src/daemon/pipeline.cpp
@@ -63,6 +63,13 @@
     return {value->get_string().data(), value->get_string().size()};
 }
 
+milliseconds pauseBeforeRetry(RunOutcome outcome)
+{
+    if (outcome == RunOutcome::Broken)
+        return SuspectDelay;
+    return outcome == RunOutcome::NotStarted ? RetryPause : milliseconds(0);
+}
+
 int statusOf(RefusalReason reason)
 {
     return reason == RefusalReason::Quarantined ? 422 : 503;
@@ -353,8 +360,7 @@
             need.avoid.push_back(held.grant.upstream);
         if (!mayRetry(call, last))
             break;
-        if (last.outcome == RunOutcome::NotStarted)
-            sleepFor(RetryPause, fiber);
+        sleepFor(pauseBeforeRetry(last.outcome), fiber);
         m_parts.metrics.add("retries_total", last.verdict == Verdict::NotRun ? "not-run" : "repeatable");
     }
     const Verdict verdict = mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
--- a/src/daemon/suspectregistry.cpp
+++ b/src/daemon/suspectregistry.cpp
@@ -5,9 +5,10 @@
 
 namespace chestnutsill {
 
-SuspectRegistry::SuspectRegistry(TellCrash tellCrash, TellCleared tellCleared)
+SuspectRegistry::SuspectRegistry(TellCrash tellCrash, TellCleared tellCleared, OnStrikes onStrikes)
     : m_tellCrash(std::move(tellCrash))
     , m_tellCleared(std::move(tellCleared))
+    , m_onStrikes(std::move(onStrikes))
 {}
 
 void SuspectRegistry::sawCrash(const CrashReport &crash)
@@ -20,8 +21,12 @@
 
 void SuspectRegistry::heardCrash(const CrashReport &crash)
 {
-    const std::lock_guard lock(m_mutex);
-    m_suspects.recordCrash(crash.upstream, crash.incarnation, crash.fingerprints, now());
+    {
+        const std::lock_guard lock(m_mutex);
+        m_suspects.recordCrash(crash.upstream, crash.incarnation, crash.fingerprints, now());
+    }
+    for (const std::uint64_t fingerprint : crash.fingerprints)
+        m_onStrikes(fingerprint, strikes(fingerprint));
 }
 
 void SuspectRegistry::sawCompletion(std::uint64_t fingerprint)
@@ -34,8 +39,11 @@
 
 void SuspectRegistry::heardCompletion(std::uint64_t fingerprint)
 {
-    const std::lock_guard lock(m_mutex);
-    m_suspects.clear(fingerprint);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_suspects.clear(fingerprint);
+    }
+    m_onStrikes(fingerprint, 0);
 }
 
 int SuspectRegistry::strikes(std::uint64_t fingerprint)
--- a/src/daemon/suspectregistry.h
+++ b/src/daemon/suspectregistry.h
@@ -15,9 +15,10 @@
 public:
     using TellCrash = std::function<void(const CrashReport &)>;
     using TellCleared = std::function<void(std::uint64_t)>;
+    using OnStrikes = std::function<void(std::uint64_t fingerprint, int strikes)>;
 
-    /// `tellCrash` and `tellCleared` pass news on to all peers.
-    SuspectRegistry(TellCrash tellCrash, TellCleared tellCleared);
+    /// `tellCrash` and `tellCleared` pass news on to all peers; `onStrikes` tells this instance's own pools.
+    SuspectRegistry(TellCrash tellCrash, TellCleared tellCleared, OnStrikes onStrikes);
 
     /// Records a crash that this instance has seen.
     void sawCrash(const CrashReport &crash);
@@ -40,6 +41,7 @@
 private:
     const TellCrash m_tellCrash;
     const TellCleared m_tellCleared;
+    const OnStrikes m_onStrikes;
     std::mutex m_mutex;
     Suspects m_suspects;
 };
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -8,6 +8,7 @@
 
 #include <sys/socket.h>
 
+#include <array>
 #include <stdexcept>
 
 namespace chestnutsill {
@@ -36,6 +37,7 @@
 namespace {
 
 constexpr std::size_t MaxHeadBytes = 16'384;
+constexpr std::chrono::milliseconds DiscardTime{2000};
 
 /// A caller's connection as an exchange. Lives as long as one request.
 class BeastExchange : public Exchange
@@ -231,6 +233,16 @@
     std::atomic<int> &count;
 };
 
+/// Reads and drops what the caller still sends, so that it can read the refusal before the connection closes.
+void discardInput(beast::tcp_stream &stream, const Fiber &fiber)
+{
+    std::array<char, MaxHeadBytes> buffer;
+    boost::system::error_code error;
+    stream.expires_after(DiscardTime);
+    while (!error)
+        stream.async_read_some(boost::asio::buffer(buffer), fiber[error]);
+}
+
 template<typename State>
 void serve(State &state, beast::tcp_stream &stream, const Fiber &fiber)
 {
@@ -245,6 +257,11 @@
         const ActiveRequest active(state.active);
         BeastExchange exchange(stream, std::move(*request), state.limits, parser.get().keep_alive());
         state.handler(exchange, fiber);
+        if (exchange.request().fault) {
+            stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+            discardInput(stream, fiber);
+            return;
+        }
         if (!exchange.reusable())
             break;
     }
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -87,6 +87,11 @@
         [&](const Ask &ask) { return ask.ticket.holder == holder && ask.ticket.incarnation != incarnation; });
 }
 
+std::vector<Ask> FairQueue::removeWhere(const Eligible &test)
+{
+    return removeIf(test);
+}
+
 std::size_t FairQueue::ahead(const std::string &account) const
 {
     const auto own = m_accounts.find(account);
--- a/src/policy/pool.cpp
+++ b/src/policy/pool.cpp
@@ -1,5 +1,7 @@
 #include "chestnutsill/policy/pool.h"
 
+#include "chestnutsill/policy/suspects.h"
+
 #include <algorithm>
 #include <limits>
 #include <set>
@@ -19,6 +21,7 @@
 constexpr int SlowFirstTokenFactor = 6;
 /// First tokens faster than this are never a sign of cold start.
 constexpr milliseconds SlowFirstTokenMinimum{500};
+constexpr seconds QuarantineRetry{60};
 
 Instant smooth(Instant value, Instant sample)
 {
@@ -48,13 +51,26 @@
     });
 }
 
+int strikesOf(const PoolState &pool, const Ask &request)
+{
+    const auto struck = pool.struck.find(request.fingerprint);
+    return struck == pool.struck.end() ? request.strikes : std::max(request.strikes, struck->second.strikes);
+}
+
+/// Whether the news of a crash with this fingerprint may still be on its way.
+bool mustSettle(const PoolState &pool, const Ask &request, Instant now)
+{
+    const auto struck = pool.struck.find(request.fingerprint);
+    return struck != pool.struck.end() && now < struck->second.at + SuspectDelay;
+}
+
 bool accepts(const PoolState &pool, const UpstreamState &upstream, const Ask &request)
 {
     if (static_cast<int>(upstream.slots.size()) >= limitOf(pool, upstream))
         return false;
     if (std::find(request.avoid.begin(), request.avoid.end(), upstream.spec.name) != request.avoid.end())
         return false;
-    return request.strikes == 0 || !hasSuspect(upstream);
+    return strikesOf(pool, request) == 0 || !hasSuspect(upstream);
 }
 
 /// Lower is better: load after the grant, weighted by how slow the upstream has been of late.
@@ -65,8 +81,10 @@
     return used / limitOf(pool, upstream) * firstToken;
 }
 
-UpstreamState *chooseUpstream(PoolState &pool, const Ask &request)
+UpstreamState *chooseUpstream(PoolState &pool, const Ask &request, Instant now)
 {
+    if (mustSettle(pool, request, now))
+        return nullptr;
     const bool unproven = !pool.cleared.contains(request.fingerprint);
     if (unproven && runsFingerprint(pool, request.fingerprint))
         return nullptr;
@@ -116,12 +134,12 @@
         if (queue.size() == 0)
             continue;
         const auto taken =
-            queue.take([&](const Ask &request) { return chooseUpstream(pool, request) != nullptr; });
+            queue.take([&](const Ask &request) { return chooseUpstream(pool, request, now) != nullptr; });
         if (!taken)
             continue;
-        UpstreamState &upstream = *chooseUpstream(pool, taken->ask);
+        UpstreamState &upstream = *chooseUpstream(pool, taken->ask, now);
         const Ask &request = taken->ask;
-        upstream.slots[request.ticket] = {tier, request.fingerprint, request.strikes > 0, now};
+        upstream.slots[request.ticket] = {tier, request.fingerprint, strikesOf(pool, request) > 0, now};
         accrueFloors(pool, index);
         decisions.emplace_back(Grant{request.ticket, upstream.spec.name, upstream.spec.address,
                                      upstream.incarnation, now - taken->since});
@@ -223,6 +241,34 @@
         });
 }
 
+void refuseStruck(PoolState &pool, std::vector<Decision> &decisions)
+{
+    const auto isQuarantined = [&](const Ask &request) {
+        return strikesOf(pool, request) >= QuarantineStrikes;
+    };
+    for (FairQueue &queue : pool.queues) {
+        for (const Ask &struck : queue.removeWhere(isQuarantined))
+            decisions.emplace_back(Refusal{struck.ticket, RefusalReason::Quarantined, QuarantineRetry});
+    }
+}
+
+/// Counts a crash against the fingerprints that were running, before the next grant.
+void strike(PoolState &pool, const CrashReport &crash, Instant now, std::vector<Decision> &decisions)
+{
+    for (const std::uint64_t fingerprint : crash.fingerprints) {
+        pool.cleared.erase(fingerprint);
+        StruckState &struck = pool.struck[fingerprint];
+        ++struck.strikes;
+        struck.at = now;
+    }
+    refuseStruck(pool, decisions);
+}
+
+void forgetStruck(PoolState &pool, Instant now)
+{
+    std::erase_if(pool.struck, [&](const auto &struck) { return now - struck.second.at > Suspects::Memory; });
+}
+
 Instant retryAfter(const PoolState &pool)
 {
     return std::clamp<Instant>(pool.holdTime / 2, milliseconds(200), seconds(5));
@@ -337,8 +383,8 @@
     const auto refuse = [&](RefusalReason reason, Instant after) {
         decisions.emplace_back(Refusal{request.ticket, reason, after});
     };
-    if (request.strikes >= QuarantineStrikes)
-        return refuse(RefusalReason::Quarantined, seconds(60));
+    if (strikesOf(pool, request) >= QuarantineStrikes)
+        return refuse(RefusalReason::Quarantined, QuarantineRetry);
     if (!pool.mayGrant)
         return refuse(RefusalReason::HomeNotReady, milliseconds(500));
     if (capacityOf(pool) == 0)
@@ -363,6 +409,8 @@
             crash = crashOf(upstream);
         applyOutcome(pool, upstream, found->second, ended, now);
         upstream.slots.erase(found);
+        if (crash)
+            strike(pool, *crash, now, decisions);
         grantFree(pool, now, decisions);
         return crash;
     }
@@ -391,6 +439,8 @@
     upstream.incarnation = report.incarnation;
     upstream.reportedReady = report.ready;
     upstream.needsReport = false;
+    if (crash)
+        strike(pool, *crash, now, decisions);
     grantFree(pool, now, decisions);
     return crash;
 }
@@ -402,6 +452,19 @@
         found->second.needsReport = true;
 }
 
+void setStrikes(PoolState &pool, std::uint64_t fingerprint, int strikes, Instant now,
+                std::vector<Decision> &decisions)
+{
+    if (strikes == 0) {
+        pool.struck.erase(fingerprint);
+        return;
+    }
+    StruckState &struck = pool.struck[fingerprint];
+    if (strikes > struck.strikes)
+        struck = {strikes, now};
+    refuseStruck(pool, decisions);
+}
+
 void adopt(PoolState &pool, const Ticket &ticket, std::string_view upstream, int tier,
            std::uint64_t fingerprint, Instant now)
 {
@@ -436,6 +499,7 @@
 void tick(PoolState &pool, Instant now, std::vector<Decision> &decisions)
 {
     takeBackSilent(pool, now);
+    forgetStruck(pool, now);
     for (FairQueue &queue : pool.queues) {
         for (const Ask &late : queue.removeLate(now))
             decisions.emplace_back(Refusal{late.ticket, RefusalReason::WaitedTooLong, retryAfter(pool)});
--- /dev/null
+++ b/tests/integration/faulttest.cpp
@@ -0,0 +1,231 @@
+#include "scenario.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <csignal>
+#include <future>
+
+using namespace chestnutsill;
+using namespace chestnutsill::support;
+
+namespace {
+
+/// Sends chats through all running instances from several threads until told to stop.
+class Load
+{
+public:
+    Load(Cluster &cluster, int threads, std::string requestClass)
+    {
+        for (int i = 0; i < threads; ++i) {
+            m_threads.emplace_back([this, &cluster, i, requestClass] {
+                for (int sent = 0; !m_stop; ++sent) {
+                    const auto &instances = cluster.instances();
+                    const Instance &instance =
+                        instances[static_cast<std::size_t>(i + sent) % instances.size()];
+                    const std::string content = requestClass + std::to_string(i) + '-' + std::to_string(sent);
+                    const auto result = chat(instance, requestClass, content, R"({"tokens":8})", true,
+                                             std::chrono::seconds(10));
+                    m_answered += isWhole(result) ? 1 : 0;
+                    if (result.status != 200)
+                        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+                }
+            });
+        }
+    }
+
+    ~Load() { stop(); }
+
+    void stop()
+    {
+        m_stop = true;
+        for (std::thread &thread : m_threads) {
+            if (thread.joinable())
+                thread.join();
+        }
+    }
+
+    [[nodiscard]] int answered() const { return m_answered; }
+
+    static bool isWhole(const CallerResult &result)
+    {
+        return result.status == 200 && result.body.find("data: [DONE]") != std::string::npos;
+    }
+
+private:
+    std::atomic<bool> m_stop = false;
+    std::atomic<int> m_answered = 0;
+    std::vector<std::thread> m_threads;
+};
+
+bool hasExplicitEnd(const CallerResult &result)
+{
+    return Load::isWhole(result) || result.status != 200
+           || result.body.find("event: error") != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("cold start: an upstream receives no more than it bears, also when it turns cold again and homes "
+          "are lost")
+{
+    Cluster cluster("cold");
+    describeWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    for (const char *name : {"engine-1", "engine-2"})
+        addEngine(cluster, name, "za", 8, 2,
+                  {"--cold-start", "1", "--cold-bear", "2", "--cold-requests", "8", "--fall-ms", "800"});
+    addEngine(cluster, "engine-3", "zb", 8, 2,
+              {"--cold-start", "1", "--cold-bear", "2", "--cold-requests", "8"});
+    cluster.start(4);
+    REQUIRE(cluster.waitReady());
+    Load load(cluster, 24, "history");
+    const auto warm = [&](const char *name) {
+        return waitUntil([&, name] { return cluster.count(name, "completed") > 30; });
+    };
+    for (const char *name : {"engine-1", "engine-2", "engine-3"})
+        CHECK(warm(name));
+    // The engine restarts cold while every instance holds work on it.
+    REQUIRE(call(cluster.upstream("engine-1").address, "POST", "/control", R"({"crash":true})"));
+    const std::int64_t completed = cluster.count("engine-2", "completed");
+    CHECK(waitUntil([&] { return cluster.count("engine-2", "completed") > completed + 20; }));
+    // The home of the pool is lost while an upstream is cold.
+    REQUIRE(call(cluster.upstream("engine-2").address, "POST", "/control", R"({"crash":true})"));
+    const std::string home = cluster.homeOf("m/za");
+    for (Instance &instance : cluster.instances()) {
+        if (instance.name == home)
+            instance.process->kill();
+    }
+    cluster.publishList([&](const Instance &instance) { return instance.name != home; });
+    const std::int64_t later = cluster.count("engine-2", "completed");
+    CHECK(waitUntil([&] { return cluster.count("engine-2", "completed") > later + 30; }));
+    load.stop();
+    CHECK(load.answered() > 100);
+    for (const char *name : {"engine-1", "engine-2", "engine-3"}) {
+        CAPTURE(name);
+        CHECK(cluster.count(name, "coldOverload") == 0);
+    }
+}
+
+TEST_CASE(
+    "crash: a request that kills its engine takes down a bounded number, and its neighbours are answered")
+{
+    Cluster cluster("killer");
+    describeWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    constexpr int Engines = 6;
+    for (int i = 0; i < Engines; ++i)
+        addEngine(cluster, "engine-" + std::to_string(i), i % 2 == 0 ? "za" : "zb", 8, 2,
+                  {"--fall-ms", "500"});
+    cluster.start(3);
+    REQUIRE(cluster.waitReady());
+    Load innocent(cluster, 8, "chat");
+    for (int round = 0; round < 6; ++round) {
+        std::vector<std::future<CallerResult>> killers;
+        for (const Instance &instance : cluster.instances()) {
+            killers.push_back(std::async(std::launch::async, [&instance] {
+                return chat(instance, "history", "killer", R"({"kill":true})", false);
+            }));
+        }
+        for (auto &killer : killers)
+            CHECK(killer.get().status != 200);
+    }
+    std::int64_t falls = 0;
+    for (int i = 0; i < Engines; ++i)
+        falls += cluster.count("engine-" + std::to_string(i), "falls");
+    // Two pools may each run the first copy at once, and one suspect may run once more before it is refused.
+    CHECK(falls <= 3);
+    const int before = innocent.answered();
+    CHECK(waitUntil([&] { return innocent.answered() > before + 10; }));
+    innocent.stop();
+}
+
+TEST_CASE("shutdown: an instance that leaves is named no longer and cuts no request in progress")
+{
+    Cluster cluster("shutdown");
+    describeWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    addEngine(cluster, "engine-1", "za", 8, 2, {"--token-ms", "30"});
+    cluster.start(3, {"--hold-ms=500", "--drain-ms=1000"});
+    REQUIRE(cluster.waitReady());
+    Instance &leaving = cluster.instances()[0];
+    std::vector<std::future<CallerResult>> streams;
+    for (int i = 0; i < 4; ++i) {
+        streams.push_back(std::async(std::launch::async, [&leaving, i] {
+            return chat(leaving, "chat", "long" + std::to_string(i), R"({"tokens":120})", true);
+        }));
+    }
+    REQUIRE(waitUntil([&] { return cluster.count("engine-1", "started") == 4; }));
+    leaving.process->signal(SIGTERM);
+    for (const Instance &instance : cluster.instances()) {
+        CHECK(waitUntil([&] {
+            const auto answer = call(instance.address, "GET", "/v1/addresses");
+            return answer && answer->body.find(leaving.name) == std::string::npos;
+        }));
+    }
+    for (auto &stream : streams) {
+        const CallerResult result = stream.get();
+        CHECK(result.status == 200);
+        CHECK(result.body.find("w119 ") != std::string::npos);
+        CHECK(Load::isWhole(result));
+    }
+    CHECK(leaving.process->waitForExit(10) == 0);
+    CHECK(cluster.count("engine-1", "cancelled") == 0);
+}
+
+TEST_CASE("silence: connections that the network forgot cost a bounded delay and no answer")
+{
+    Cluster cluster("silence");
+    describeWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    addEngine(cluster, "engine-1", "za", 8, 2);
+    addEngine(cluster, "engine-2", "zb", 8, 2);
+    cluster.prepare(3);
+    std::vector<std::string> proxies;
+    for (Instance &instance : cluster.instances()) {
+        instance.listedPeerAddress = cluster.addProxy(instance.peerAddress);
+        proxies.push_back(instance.listedPeerAddress);
+    }
+    cluster.startPlatform();
+    for (std::size_t i = 0; i < 3; ++i)
+        cluster.startInstance(i);
+    REQUIRE(cluster.waitReady());
+    for (const std::string &proxy : proxies)
+        cluster.orderProxy(proxy, R"({"silenceOpen":true})");
+    std::vector<std::future<CallerResult>> bookings;
+    for (const Instance &instance : cluster.instances()) {
+        bookings.push_back(std::async(
+            std::launch::async, [&instance] { return book(instance, freshId(instance, "nonce-silence")); }));
+    }
+    for (auto &booking : bookings)
+        CHECK(booking.get().verdict == "answered");
+    CHECK(cluster.count("desk-1", "started") == 3);
+}
+
+TEST_CASE("whole answers: a crossed or cut answer never reaches a caller as whole")
+{
+    Cluster cluster("whole");
+    describeWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    addEngine(cluster, "engine-1", "za", 8, 2, {"--fall-ms", "300"});
+    addEngine(cluster, "engine-2", "zb", 8, 2, {"--fall-ms", "300"});
+    cluster.start(2);
+    REQUIRE(cluster.waitReady());
+    REQUIRE(call(cluster.upstream("engine-1").address, "POST", "/control", R"({"crossed":true})"));
+    for (int i = 0; i < 6; ++i) {
+        const Instance &instance = cluster.instances()[static_cast<std::size_t>(i) % 2];
+        const auto result = chat(instance, "chat", "crossed" + std::to_string(i), R"({"tokens":3})", true);
+        CHECK(result.body.find("another") == std::string::npos);
+        CHECK(hasExplicitEnd(result));
+    }
+    REQUIRE(call(cluster.upstream("engine-1").address, "POST", "/control", R"({"crossed":false})"));
+    auto cut = std::async(std::launch::async, [&] {
+        return chat(cluster.instances()[0], "chat", "cut", R"({"tokens":200})", true);
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    for (const char *name : {"engine-1", "engine-2"})
+        REQUIRE(call(cluster.upstream(name).address, "POST", "/control", R"({"crash":true})"));
+    const CallerResult result = cut.get();
+    CHECK_FALSE(Load::isWhole(result));
+    CHECK(hasExplicitEnd(result));
+}
--- /dev/null
+++ b/tests/integration/oncetest.cpp
@@ -0,0 +1,173 @@
+#include "scenario.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <future>
+
+using namespace chestnutsill;
+using namespace chestnutsill::support;
+
+namespace {
+
+/// Two desks, one in each zone, and three instances.
+void startDesks(Cluster &cluster)
+{
+    describeWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    addDesk(cluster, "desk-2", "zb");
+    addEngine(cluster, "engine-1", "za", 4, 2);
+    cluster.start(3);
+    REQUIRE(cluster.waitReady());
+}
+
+} // namespace
+
+TEST_CASE("booking: runs once, its outcome is repeated to a resend through any instance")
+{
+    Cluster cluster("booking-once");
+    startDesks(cluster);
+    const auto &instances = cluster.instances();
+    const CallerResult without = book(instances[0], {});
+    CHECK(without.status == 428);
+    CHECK(without.verdict == "not-run");
+    const std::string id = freshId(instances[0], "nonce-once-1");
+    const CallerResult first = book(instances[0], id);
+    CHECK(first.status == 200);
+    CHECK(first.verdict == "answered");
+    for (const Instance &instance : instances) {
+        const CallerResult again = book(instance, id);
+        CHECK(again.verdict == "answered");
+        CHECK(again.body == first.body);
+    }
+    CHECK(cluster.runsOf(id) == 1);
+}
+
+TEST_CASE("booking: copies that arrive at once through all instances run once")
+{
+    Cluster cluster("booking-copies");
+    startDesks(cluster);
+    const std::string id = freshId(cluster.instances()[1], "nonce-copies");
+    std::vector<std::future<CallerResult>> copies;
+    for (int i = 0; i < 9; ++i) {
+        const Instance &instance = cluster.instances()[static_cast<std::size_t>(i) % 3];
+        copies.push_back(std::async(std::launch::async, [&instance, &id] { return book(instance, id); }));
+    }
+    for (auto &copy : copies) {
+        const CallerResult result = copy.get();
+        CHECK(result.verdict == "answered");
+        CHECK(result.body.find(id) != std::string::npos);
+    }
+    CHECK(cluster.runsOf(id) == 1);
+}
+
+TEST_CASE("booking: an upstream that closes after the request gives may-have-run, and no second run")
+{
+    Cluster cluster("booking-closed");
+    startDesks(cluster);
+    for (const char *order : {R"({"closeAfterRun":1})", R"({"closeBeforeRun":1})"}) {
+        CAPTURE(order);
+        for (const char *desk : {"desk-1", "desk-2"})
+            REQUIRE(call(cluster.upstream(desk).address, "POST", "/control", order));
+        const std::string id = freshId(cluster.instances()[0], "nonce-closed-1");
+        const CallerResult result = book(cluster.instances()[0], id);
+        CHECK(result.verdict == "may-have-run");
+        for (const Instance &instance : cluster.instances())
+            CHECK(book(instance, id).verdict == "may-have-run");
+        CHECK(cluster.runsOf(id) <= 1);
+    }
+}
+
+TEST_CASE("booking: an owner frozen after admission sends nothing late when it wakes")
+{
+    Cluster cluster("booking-frozen");
+    describeWorkload(cluster);
+    addEngine(cluster, "engine-1", "za", 4, 2);
+    addDesk(cluster, "desk-1", "za");
+    const std::string proxy = cluster.addProxy(cluster.upstream("desk-1").address);
+    cluster.configuration().upstreams.back().address = proxy;
+    cluster.start(3);
+    REQUIRE(cluster.waitReady());
+    Instance &owner = cluster.instances()[0];
+    const std::string id = freshId(owner, "nonce-frozen-1");
+    // The owner's connection to the desk hangs, so the owner is frozen between admission and first byte.
+    cluster.orderProxy(proxy, R"({"mode":"silent"})");
+    auto first = std::async(std::launch::async, [&] { return book(owner, id, std::chrono::seconds(20)); });
+    REQUIRE(waitUntil([&] {
+        const auto state = readObject(owner.adminAddress, "/state");
+        return state.contains("heldSlots") && state.at("heldSlots").to_number<int>() > 0;
+    }));
+    owner.process->signal(SIGSTOP);
+    cluster.orderProxy(proxy, R"({"mode":"pass"})");
+    const CallerResult elsewhere = book(cluster.instances()[1], id);
+    CHECK(elsewhere.verdict == "may-have-run");
+    std::this_thread::sleep_for(std::chrono::seconds(7));
+    owner.process->signal(SIGCONT);
+    const CallerResult late = first.get();
+    CHECK(late.verdict != "answered");
+    CHECK(cluster.runsOf(id) == 0);
+    CHECK(book(cluster.instances()[2], id).verdict != "answered");
+    CHECK(cluster.runsOf(id) == 0);
+}
+
+TEST_CASE("booking: an owner that is gone and came back on the same address runs nothing again")
+{
+    Cluster cluster("booking-restart");
+    startDesks(cluster);
+    Instance &owner = cluster.instances()[0];
+    const std::string id = freshId(owner, "nonce-restart");
+    CHECK(book(owner, id).verdict == "answered");
+    owner.process->kill();
+    CHECK(book(cluster.instances()[1], id).verdict == "may-have-run");
+    cluster.startInstance(0);
+    REQUIRE(cluster.waitReady());
+    for (const Instance &instance : cluster.instances())
+        CHECK(book(instance, id).verdict == "may-have-run");
+    CHECK(cluster.runsOf(id) == 1);
+}
+
+TEST_CASE("booking: bad requests are refused with the field named")
+{
+    Cluster cluster("booking-bad");
+    startDesks(cluster);
+    const std::string address = cluster.instances()[0].address;
+    struct Case
+    {
+        std::string target;
+        std::string body;
+        std::vector<HttpField> fields;
+        int status;
+        std::string field;
+    };
+    const HttpField account{"chestnutsill-account", "one"};
+    const Case cases[] = {
+        {"/v1/chat/completions", "{}", {}, 401, "chestnutsill-account"},
+        {"/v1/chat/completions", "{", {account}, 400, "body"},
+        {"/v1/chat/completions", "{}", {account}, 400, "chestnutsill-class"},
+        {"/x", "{}", {account, {"chestnutsill-class", "none"}}, 400, "chestnutsill-class"},
+        {"/v1/chat/completions",
+         R"({"model":"m"})",
+         {account, {"chestnutsill-deadline-ms", "soon"}},
+         400,
+         "chestnutsill-deadline-ms"},
+        {"/v1/chat/completions",
+         R"({"model":"m"})",
+         {account, {"chestnutsill-deadline-ms", "0"}},
+         504,
+         "chestnutsill-deadline-ms"},
+        {"/x",
+         "{}",
+         {account, {"chestnutsill-class", "booking"}, {"chestnutsill-request-id", "x"}},
+         400,
+         "chestnutsill-request-id"},
+        {"/v1/chat/completions", std::string(2 << 20, ' '), {account}, 413, "body"},
+    };
+    for (const Case &item : cases) {
+        CAPTURE(item.field);
+        const auto response = call(address, "POST", item.target, item.body, item.fields);
+        REQUIRE(response);
+        CHECK(response->head.status == item.status);
+        CHECK(response->head.field("chestnutsill-verdict") == "not-run");
+        CHECK(response->body.find('"' + item.field + '"') != std::string::npos);
+    }
+}
