Count crashes once, ramp only on the incarnation that ran, spare warm upstreams a second cold start

Runs that completed on an older incarnation also raised the limit of the new one. - An answer with another request's id was counted as a crash.

Change: crashes are kept by upstream and incarnation in the pool too; floors accrue at every start; one share for all tiers in the prediction; a new home takes every upstream for cold, unless the former home told by heartbeat within 15 s that this incarnation was warm; only runs on the current incarnation raise its limit; an answer to another request is an outcome of its own.

Ruled out: taking every upstream for cold at each change of home without that word. With streams of several seconds the ramp is slow; the shutdown test could no longer start 4 streams on an engine of 8 slots.

--- a/include/chestnutsill/policy/peertypes.h
+++ b/include/chestnutsill/policy/peertypes.h
@@ -9,6 +9,13 @@
 
 namespace chestnutsill {
 
+/// An upstream that its home has seen through cold start.
+struct WarmUpstream
+{
+    std::string upstream;
+    std::string incarnation;
+};
+
 /// Load of one pool as its home sees it.
 struct PoolSummary
 {
@@ -18,6 +25,8 @@
     int inUse = 0;
     /// Waiting requests by tier.
     std::array<int, TierCount> waiting{};
+    /// Tells the next home which upstreams need no new cold start.
+    std::vector<WarmUpstream> warm;
 };
 
 /// What instances tell each other at each heartbeat.
--- a/include/chestnutsill/policy/pool.h
+++ b/include/chestnutsill/policy/pool.h
@@ -2,13 +2,13 @@
 
 #include "chestnutsill/policy/fairqueue.h"
 #include "chestnutsill/policy/pooltypes.h"
+#include "chestnutsill/policy/suspects.h"
 
 #include <array>
 #include <map>
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -31,6 +31,7 @@
 /// What the home knows of one upstream.
 struct UpstreamState
 {
+    /// A new home takes every upstream for cold at first: the upstream's own report lags.
     enum class Phase { Unknown, Cold, Warm };
 
     /// A slot in use, or granted and not yet used.
@@ -40,6 +41,8 @@
         std::uint64_t fingerprint = 0;
         bool suspect = false;
         Instant grantedAt{};
+        /// Incarnation of the upstream for which the slot was granted.
+        std::string incarnation;
     };
 
     UpstreamSpec spec;
@@ -55,15 +58,6 @@
     std::map<Ticket, Slot> slots;
 };
 
-/// What the home knows of a fingerprint that was running when upstreams crashed.
-struct StruckState
-{
-    /// Crashes known of.
-    int strikes = 0;
-    /// When the last became known.
-    Instant at{};
-};
-
 /// Everything the home of a pool keeps. A pool is all upstreams of one model in one availability zone; its
 /// home is the one instance that grants their slots, so that one process sees all demand for them in one
 /// queue.
@@ -78,8 +72,8 @@
     Instant holdTime = seconds(2);
     /// Fingerprints that have completed and so need not run one at a time.
     std::unordered_set<std::uint64_t> cleared;
-    /// Fingerprints that were running when upstreams crashed.
-    std::unordered_map<std::uint64_t, StruckState> struck;
+    /// Fingerprints that were running when upstreams crashed, here or at other pools.
+    Suspects suspects;
     std::map<std::string, Instant> lastContact;
     /// Whether the home may grant at all.
     bool mayGrant = false;
@@ -139,10 +133,11 @@
 /// Records that no report could be had; the upstream receives no work until one is.
 void reportMissing(PoolState &pool, std::string_view upstream);
 
-/// Takes in the number of crashes known for a fingerprint, none once a request of it has completed, and
-/// refuses waiting requests that reach quarantine.
-void setStrikes(PoolState &pool, std::uint64_t fingerprint, int strikes, Instant now,
-                std::vector<Decision> &decisions);
+/// Records a crash, seen here or at another pool, and refuses waiting requests that it puts into quarantine.
+void noteCrash(PoolState &pool, const CrashReport &crash, Instant now, std::vector<Decision> &decisions);
+
+/// Clears a fingerprint of which a request has completed.
+void noteCompletion(PoolState &pool, std::uint64_t fingerprint);
 
 /// Registers a slot that a holder was granted by the pool's former home.
 void adopt(PoolState &pool, const Ticket &ticket, std::string_view upstream, int tier,
--- a/include/chestnutsill/policy/pooltypes.h
+++ b/include/chestnutsill/policy/pooltypes.h
@@ -108,6 +108,8 @@
     Silent,
     /// The caller left, and the run was cancelled.
     Cancelled,
+    /// The answer carried the id of another attempt.
+    WrongAnswer,
 };
 
 /// Gives a slot back, or withdraws an ask that still waits.
@@ -131,6 +133,8 @@
     bool ready = false;
     /// Work in progress by the upstream's own count, which may lag.
     int running = 0;
+    /// Whether the pool's former home had seen this incarnation through cold start a short time ago.
+    bool knownWarm = false;
 };
 
 } // namespace chestnutsill
--- a/include/chestnutsill/policy/suspects.h
+++ b/include/chestnutsill/policy/suspects.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -37,8 +38,11 @@
     /// Number of remembered crashes in which the fingerprint was running.
     [[nodiscard]] int strikes(std::uint64_t fingerprint, Instant now);
 
+    /// When the last crash in which the fingerprint was running was recorded; nothing when there is none.
+    [[nodiscard]] std::optional<Instant> lastCrash(std::uint64_t fingerprint) const;
+
     /// Number of remembered fingerprints.
-    [[nodiscard]] std::size_t size() const noexcept { return m_strikes.size(); }
+    [[nodiscard]] std::size_t size() const noexcept { return m_records.size(); }
 
 private:
     struct Crash
@@ -48,11 +52,17 @@
         std::unordered_set<std::uint64_t> fingerprints;
     };
 
+    struct Record
+    {
+        int strikes = 0;
+        Instant last{};
+    };
+
     void forgetOldest();
     void forgetExpired(Instant now);
 
     std::deque<Crash> m_crashes;
-    std::unordered_map<std::uint64_t, int> m_strikes;
+    std::unordered_map<std::uint64_t, Record> m_records;
 };
 
 } // namespace chestnutsill
--- a/src/daemon/clusterview.cpp
+++ b/src/daemon/clusterview.cpp
@@ -99,6 +99,7 @@
         return false;
     m_listDigest = digestOf(list);
     m_list = std::make_shared<const InstanceList>(std::move(list));
+    std::erase_if(m_warm, [&](const auto &sign) { return now - sign.second.heardAt > WarmSignMaxAge; });
     std::erase_if(m_peers, [&](const auto &peer) {
         return std::none_of(m_list->members.begin(), m_list->members.end(),
                             [&](const Member &member) { return member.name == peer.first; });
@@ -142,6 +143,18 @@
     const std::lock_guard lock(m_mutex);
     PeerView &peer = m_peers[heartbeat.name];
     peer = {heartbeat, now, false, true};
+    for (const PoolSummary &summary : heartbeat.pools) {
+        for (const WarmUpstream &warm : summary.warm)
+            m_warm[warm.upstream] = {warm.incarnation, now};
+    }
+}
+
+bool ClusterView::wasWarm(const std::string &upstream, const std::string &incarnation, Instant now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto sign = m_warm.find(upstream);
+    return sign != m_warm.end() && sign->second.incarnation == incarnation
+           && now - sign->second.heardAt <= WarmSignMaxAge;
 }
 
 void ClusterView::failed(const std::string &peer, PeerFailure failure)
--- a/src/daemon/clusterview.h
+++ b/src/daemon/clusterview.h
@@ -35,6 +35,9 @@
     /// Age beyond which an instance list is not relied on for grants in cold start.
     static constexpr milliseconds ListMaxAge{3000};
 
+    /// Age up to which word of a warm upstream counts.
+    static constexpr milliseconds WarmSignMaxAge{15000};
+
     explicit ClusterView(std::string ownName);
 
     /// Takes a document from the service or a peer. An invalid one is refused and the one in force stays.
@@ -79,7 +82,17 @@
     /// The last summary of a pool told by its home, if recent.
     [[nodiscard]] std::optional<PoolSummary> summary(const std::string &pool, Instant now) const;
 
+    /// Whether a home told a short time ago that this incarnation of the upstream was warm.
+    [[nodiscard]] bool wasWarm(const std::string &upstream, const std::string &incarnation,
+                               Instant now) const;
+
 private:
+    struct WarmSign
+    {
+        std::string incarnation;
+        Instant heardAt{};
+    };
+
     [[nodiscard]] bool isReachable(const std::string &peer, Instant now) const;
 
     const std::string m_ownName;
@@ -89,6 +102,7 @@
     std::uint64_t m_listDigest = 0;
     Instant m_listReadAt{};
     std::map<std::string, PeerView> m_peers;
+    std::map<std::string, WarmSign> m_warm;
 };
 
 } // namespace chestnutsill
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -43,11 +43,10 @@
         , m_io(settings.threads)
         , m_signals(m_io, SIGTERM, SIGINT)
         , m_view(m_identity.name)
-        , m_suspects(
-              [this](const CrashReport &crash) { tellCrash(crash); },
-              [this](std::uint64_t fingerprint) { tellCleared(fingerprint); },
-              [this](std::uint64_t fingerprint, int strikes) { m_homes.setStrikes(fingerprint, strikes); })
         , m_homes(m_io, m_view, m_identity, [this](const CrashReport &crash) { m_suspects.sawCrash(crash); })
+        , m_suspects(
+              m_homes, [this](const CrashReport &crash) { tellCrash(crash); },
+              [this](std::uint64_t fingerprint) { tellCleared(fingerprint); })
         , m_capacity(m_io, m_view, m_homes, m_identity)
         , m_gossip(m_view, m_homes, m_capacity, m_identity, m_leaving)
         , m_peers(settings.peerListen, peerHandlers())
@@ -172,8 +171,8 @@
     Metrics m_metrics;
     ClusterView m_view;
     Owner m_owner;
-    SuspectRegistry m_suspects;
     Homes m_homes;
+    SuspectRegistry m_suspects;
     Capacity m_capacity;
     Gossip m_gossip;
     PeerNode m_peers;
--- a/src/daemon/homes.cpp
+++ b/src/daemon/homes.cpp
@@ -132,11 +132,20 @@
     }
 }
 
-void Homes::setStrikes(std::uint64_t fingerprint, int strikes)
+void Homes::noteCrash(const CrashReport &crash)
 {
     for (const auto &pool : all()) {
         update(*pool, [&](PoolState &state, Instant time, std::vector<Decision> &decisions) {
-            chestnutsill::setStrikes(state, fingerprint, strikes, time, decisions);
+            chestnutsill::noteCrash(state, crash, time, decisions);
+        });
+    }
+}
+
+void Homes::noteCompletion(std::uint64_t fingerprint)
+{
+    for (const auto &pool : all()) {
+        update(*pool, [&](PoolState &state, Instant, std::vector<Decision> &) {
+            chestnutsill::noteCompletion(state, fingerprint);
         });
     }
 }
@@ -166,9 +175,13 @@
         const std::lock_guard lock(pool->mutex);
         if (!mayGrant(pool->term, now()))
             continue;
-        PoolSummary summary{pool->name, capacityOf(pool->state), inUse(pool->state), {}};
+        PoolSummary summary{pool->name, capacityOf(pool->state), inUse(pool->state), {}, {}};
         for (std::size_t tier = 0; tier < TierCount; ++tier)
             summary.waiting[tier] = static_cast<int>(pool->state.queues[tier].size());
+        for (const auto &[name, upstream] : pool->state.upstreams) {
+            if (upstream.phase == UpstreamState::Phase::Warm && !upstream.needsReport)
+                summary.warm.push_back({name, upstream.incarnation});
+        }
         summaries.push_back(std::move(summary));
     }
     return summaries;
@@ -258,6 +271,8 @@
     std::optional<UpstreamReport> report;
     if (client.connect(spec.address, ProbeConnectTimeout, fiber))
         report = readLoadReport(client, spec.name, fiber, reason);
+    if (report)
+        report->knownWarm = m_view.wasWarm(spec.name, report->incarnation, now());
     std::optional<CrashReport> crash;
     update(*pool, [&](PoolState &state, Instant time, std::vector<Decision> &decisions) {
         pool->probing.erase(spec.name);
--- a/src/daemon/homes.h
+++ b/src/daemon/homes.h
@@ -36,8 +36,11 @@
     /// Registers a slot granted by the pool's former home.
     void adopt(const HeldSlot &held);
 
-    /// Tells all pools the number of crashes known for a fingerprint.
-    void setStrikes(std::uint64_t fingerprint, int strikes);
+    /// Tells all pools of a crash.
+    void noteCrash(const CrashReport &crash);
+
+    /// Tells all pools that a request of this fingerprint completed.
+    void noteCompletion(std::uint64_t fingerprint);
 
     /// Records contact with an instance.
     void holderAlive(const std::string &holder, std::uint64_t incarnation);
--- a/src/daemon/pipeline.cpp
+++ b/src/daemon/pipeline.cpp
@@ -356,7 +356,7 @@
         }
         mayHaveRun = mayHaveRun || last.verdict == Verdict::MayHaveRun;
         crashes += last.outcome == RunOutcome::Broken ? 1 : 0;
-        if (last.outcome == RunOutcome::Broken || last.outcome == RunOutcome::Silent)
+        if (last.verdict == Verdict::MayHaveRun)
             need.avoid.push_back(held.grant.upstream);
         if (!mayRetry(call, last))
             break;
--- a/src/daemon/suspectregistry.cpp
+++ b/src/daemon/suspectregistry.cpp
@@ -5,10 +5,10 @@
 
 namespace chestnutsill {
 
-SuspectRegistry::SuspectRegistry(TellCrash tellCrash, TellCleared tellCleared, OnStrikes onStrikes)
-    : m_tellCrash(std::move(tellCrash))
+SuspectRegistry::SuspectRegistry(Homes &homes, TellCrash tellCrash, TellCleared tellCleared)
+    : m_homes(homes)
+    , m_tellCrash(std::move(tellCrash))
     , m_tellCleared(std::move(tellCleared))
-    , m_onStrikes(std::move(onStrikes))
 {}
 
 void SuspectRegistry::sawCrash(const CrashReport &crash)
@@ -25,8 +25,7 @@
         const std::lock_guard lock(m_mutex);
         m_suspects.recordCrash(crash.upstream, crash.incarnation, crash.fingerprints, now());
     }
-    for (const std::uint64_t fingerprint : crash.fingerprints)
-        m_onStrikes(fingerprint, strikes(fingerprint));
+    m_homes.noteCrash(crash);
 }
 
 void SuspectRegistry::sawCompletion(std::uint64_t fingerprint)
@@ -43,7 +42,7 @@
         const std::lock_guard lock(m_mutex);
         m_suspects.clear(fingerprint);
     }
-    m_onStrikes(fingerprint, 0);
+    m_homes.noteCompletion(fingerprint);
 }
 
 int SuspectRegistry::strikes(std::uint64_t fingerprint)
--- a/src/daemon/suspectregistry.h
+++ b/src/daemon/suspectregistry.h
@@ -2,6 +2,7 @@
 
 #include "chestnutsill/policy/pool.h"
 #include "chestnutsill/policy/suspects.h"
+#include "daemon/homes.h"
 
 #include <functional>
 #include <mutex>
@@ -15,10 +16,9 @@
 public:
     using TellCrash = std::function<void(const CrashReport &)>;
     using TellCleared = std::function<void(std::uint64_t)>;
-    using OnStrikes = std::function<void(std::uint64_t fingerprint, int strikes)>;
 
-    /// `tellCrash` and `tellCleared` pass news on to all peers; `onStrikes` tells this instance's own pools.
-    SuspectRegistry(TellCrash tellCrash, TellCleared tellCleared, OnStrikes onStrikes);
+    /// `tellCrash` and `tellCleared` pass news on to all peers.
+    SuspectRegistry(Homes &homes, TellCrash tellCrash, TellCleared tellCleared);
 
     /// Records a crash that this instance has seen.
     void sawCrash(const CrashReport &crash);
@@ -39,9 +39,9 @@
     [[nodiscard]] std::size_t size();
 
 private:
+    Homes &m_homes;
     const TellCrash m_tellCrash;
     const TellCleared m_tellCleared;
-    const OnStrikes m_onStrikes;
     std::mutex m_mutex;
     Suspects m_suspects;
 };
--- a/src/peer/convert.cpp
+++ b/src/peer/convert.cpp
@@ -115,7 +115,7 @@
 
 Release read(wire::Release::Reader in)
 {
-    return {readTicket(in.getTicket()), toEnum(in.getOutcome(), RunOutcome::Cancelled),
+    return {readTicket(in.getTicket()), toEnum(in.getOutcome(), RunOutcome::WrongAnswer),
             toString(in.getIncarnationSeen()), Instant(in.getFirstToken())};
 }
 
@@ -138,6 +138,11 @@
         auto waiting = pools[i].initWaiting(TierCount);
         for (unsigned tier = 0; tier < TierCount; ++tier)
             waiting.set(tier, static_cast<unsigned>(summary.waiting[tier]));
+        auto warm = pools[i].initWarm(static_cast<unsigned>(summary.warm.size()));
+        for (unsigned j = 0; j < warm.size(); ++j) {
+            warm[j].setUpstream(summary.warm[j].upstream.c_str());
+            warm[j].setIncarnation(summary.warm[j].incarnation.c_str());
+        }
     }
 }
 
@@ -160,6 +165,8 @@
         const auto waiting = entry.getWaiting();
         for (unsigned tier = 0; tier < TierCount && tier < waiting.size(); ++tier)
             summary.waiting[tier] = static_cast<int>(waiting[tier]);
+        for (const auto warm : entry.getWarm())
+            summary.warm.push_back({toString(warm.getUpstream()), toString(warm.getIncarnation())});
         value.pools.push_back(std::move(summary));
     }
     return value;
--- a/src/peer/impl/peer.capnp.h
+++ b/src/peer/impl/peer.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(a1e0aa0aeea75316);
 CAPNP_DECLARE_SCHEMA(d9e10dd8164eb8ea);
 CAPNP_DECLARE_SCHEMA(c1ed944878a1ec24);
+CAPNP_DECLARE_SCHEMA(f2c412e47c72b6a6);
 CAPNP_DECLARE_SCHEMA(e16b8d828fe13dbd);
 CAPNP_DECLARE_SCHEMA(d64ab44bac3f9252);
 CAPNP_DECLARE_SCHEMA(9b0b0f36a5eca5b3);
@@ -151,6 +152,21 @@
   };
 };
 
+struct WarmUpstream {
+  WarmUpstream() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f2c412e47c72b6a6, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PoolSummary {
   PoolSummary() = delete;
 
@@ -159,7 +175,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e16b8d828fe13dbd, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e16b8d828fe13dbd, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1122,6 +1138,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class WarmUpstream::Reader {
+public:
+  typedef WarmUpstream Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WarmUpstream::Builder {
+public:
+  typedef WarmUpstream Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WarmUpstream::Pipeline {
+public:
+  typedef WarmUpstream Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PoolSummary::Reader {
 public:
   typedef PoolSummary Reads;
@@ -1149,6 +1256,9 @@
   inline bool hasWaiting() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWaiting() const;
 
+  inline bool hasWarm() const;
+  inline  ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>::Reader getWarm() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1198,6 +1308,13 @@
   inline void adoptWaiting(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWaiting();
 
+  inline bool hasWarm();
+  inline  ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>::Builder getWarm();
+  inline void setWarm( ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>::Builder initWarm(unsigned int size);
+  inline void adoptWarm(::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>> disownWarm();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3772,6 +3889,74 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WarmUpstream::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WarmUpstream::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WarmUpstream::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WarmUpstream::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WarmUpstream::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WarmUpstream::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WarmUpstream::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WarmUpstream::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool WarmUpstream::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool WarmUpstream::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WarmUpstream::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WarmUpstream::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void WarmUpstream::Builder::setIncarnation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WarmUpstream::Builder::initIncarnation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void WarmUpstream::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WarmUpstream::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool PoolSummary::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3872,6 +4057,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool PoolSummary::Reader::hasWarm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PoolSummary::Builder::hasWarm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>::Reader PoolSummary::Reader::getWarm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>::Builder PoolSummary::Builder::getWarm() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PoolSummary::Builder::setWarm( ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>::Builder PoolSummary::Builder::initWarm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PoolSummary::Builder::adoptWarm(
+    ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>> PoolSummary::Builder::disownWarm() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::WarmUpstream,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Heartbeat::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -44,11 +44,17 @@
   firstToken @3 :Int64;
 }
 
+struct WarmUpstream {
+  upstream @0 :Text;
+  incarnation @1 :Text;
+}
+
 struct PoolSummary {
   pool @0 :Text;
   capacity @1 :UInt32;
   inUse @2 :UInt32;
   waiting @3 :List(UInt32);
+  warm @4 :List(WarmUpstream);
 }
 
 struct Heartbeat {
--- a/src/policy/pool.cpp
+++ b/src/policy/pool.cpp
@@ -1,7 +1,5 @@
 #include "chestnutsill/policy/pool.h"
 
-#include "chestnutsill/policy/suspects.h"
-
 #include <algorithm>
 #include <limits>
 #include <set>
@@ -22,6 +20,8 @@
 /// First tokens faster than this are never a sign of cold start.
 constexpr milliseconds SlowFirstTokenMinimum{500};
 constexpr seconds QuarantineRetry{60};
+/// Starts that a tier's floor may fall behind by and still catch up with.
+constexpr double MaxFloorCredit = 2;
 
 Instant smooth(Instant value, Instant sample)
 {
@@ -51,26 +51,25 @@
     });
 }
 
-int strikesOf(const PoolState &pool, const Ask &request)
+int strikesOf(PoolState &pool, const Ask &request, Instant now)
 {
-    const auto struck = pool.struck.find(request.fingerprint);
-    return struck == pool.struck.end() ? request.strikes : std::max(request.strikes, struck->second.strikes);
+    return std::max(request.strikes, pool.suspects.strikes(request.fingerprint, now));
 }
 
-/// Whether the news of a crash with this fingerprint may still be on its way.
+/// Whether the news of other crashes with this fingerprint may still be on its way.
 bool mustSettle(const PoolState &pool, const Ask &request, Instant now)
 {
-    const auto struck = pool.struck.find(request.fingerprint);
-    return struck != pool.struck.end() && now < struck->second.at + SuspectDelay;
+    const auto last = pool.suspects.lastCrash(request.fingerprint);
+    return last && now < *last + SuspectDelay;
 }
 
-bool accepts(const PoolState &pool, const UpstreamState &upstream, const Ask &request)
+bool accepts(const PoolState &pool, const UpstreamState &upstream, const Ask &request, bool suspect)
 {
     if (static_cast<int>(upstream.slots.size()) >= limitOf(pool, upstream))
         return false;
     if (std::find(request.avoid.begin(), request.avoid.end(), upstream.spec.name) != request.avoid.end())
         return false;
-    return strikesOf(pool, request) == 0 || !hasSuspect(upstream);
+    return !suspect || !hasSuspect(upstream);
 }
 
 /// Lower is better: load after the grant, weighted by how slow the upstream has been of late.
@@ -88,10 +87,11 @@
     const bool unproven = !pool.cleared.contains(request.fingerprint);
     if (unproven && runsFingerprint(pool, request.fingerprint))
         return nullptr;
+    const bool suspect = strikesOf(pool, request, now) > 0;
     UpstreamState *best = nullptr;
     double bestScore = std::numeric_limits<double>::max();
     for (auto &[name, upstream] : pool.upstreams) {
-        if (!accepts(pool, upstream, request))
+        if (!accepts(pool, upstream, request, suspect))
             continue;
         const double score = scoreOf(pool, upstream);
         if (score < bestScore) {
@@ -119,10 +119,11 @@
 void accrueFloors(PoolState &pool, std::size_t servedTier)
 {
     for (std::size_t tier = 0; tier < TierCount; ++tier) {
-        if (tier == servedTier && pool.floorCredit[tier] >= 1)
-            pool.floorCredit[tier] -= 1;
-        else if (pool.queues[tier].size() > 0)
-            pool.floorCredit[tier] = std::min(pool.floorCredit[tier] + pool.floors[tier], 1.0);
+        double &credit = pool.floorCredit[tier];
+        if (tier == servedTier || pool.queues[tier].size() > 0)
+            credit = std::min(credit + pool.floors[tier], MaxFloorCredit);
+        if (tier == servedTier && credit >= 1)
+            credit -= 1;
     }
 }
 
@@ -139,7 +140,8 @@
             continue;
         UpstreamState &upstream = *chooseUpstream(pool, taken->ask, now);
         const Ask &request = taken->ask;
-        upstream.slots[request.ticket] = {tier, request.fingerprint, strikesOf(pool, request) > 0, now};
+        upstream.slots[request.ticket] = {tier, request.fingerprint, strikesOf(pool, request, now) > 0, now,
+                                          upstream.incarnation};
         accrueFloors(pool, index);
         decisions.emplace_back(Grant{request.ticket, upstream.spec.name, upstream.spec.address,
                                      upstream.incarnation, now - taken->since});
@@ -160,11 +162,14 @@
                        [&](const auto &upstream) { return upstream.second.slots.contains(ticket); });
 }
 
-CrashReport crashOf(const UpstreamState &upstream)
+/// The crash of one incarnation, with all that ran on it.
+CrashReport crashOf(const UpstreamState &upstream, const std::string &incarnation)
 {
-    CrashReport crash{upstream.spec.name, upstream.incarnation, {}};
-    for (const auto &[ticket, slot] : upstream.slots)
-        crash.fingerprints.push_back(slot.fingerprint);
+    CrashReport crash{upstream.spec.name, incarnation, {}};
+    for (const auto &[ticket, slot] : upstream.slots) {
+        if (slot.incarnation == incarnation)
+            crash.fingerprints.push_back(slot.fingerprint);
+    }
     return crash;
 }
 
@@ -195,7 +200,8 @@
     switch (ended.outcome) {
     case RunOutcome::Completed:
         learnFirstToken(upstream, ended.firstToken);
-        rampUp(upstream);
+        if (slot.incarnation == upstream.incarnation)
+            rampUp(upstream);
         pool.holdTime = smooth(pool.holdTime, now - slot.grantedAt);
         if (pool.cleared.size() >= MaxCleared)
             pool.cleared.clear();
@@ -211,7 +217,8 @@
     case RunOutcome::ConnectFailed:
     case RunOutcome::Broken:
     case RunOutcome::Silent:
-        upstream.needsReport = true;
+    case RunOutcome::WrongAnswer:
+        upstream.needsReport = upstream.needsReport || slot.incarnation == upstream.incarnation;
         break;
     case RunOutcome::NotStarted:
     case RunOutcome::Cancelled:
@@ -241,34 +248,6 @@
         });
 }
 
-void refuseStruck(PoolState &pool, std::vector<Decision> &decisions)
-{
-    const auto isQuarantined = [&](const Ask &request) {
-        return strikesOf(pool, request) >= QuarantineStrikes;
-    };
-    for (FairQueue &queue : pool.queues) {
-        for (const Ask &struck : queue.removeWhere(isQuarantined))
-            decisions.emplace_back(Refusal{struck.ticket, RefusalReason::Quarantined, QuarantineRetry});
-    }
-}
-
-/// Counts a crash against the fingerprints that were running, before the next grant.
-void strike(PoolState &pool, const CrashReport &crash, Instant now, std::vector<Decision> &decisions)
-{
-    for (const std::uint64_t fingerprint : crash.fingerprints) {
-        pool.cleared.erase(fingerprint);
-        StruckState &struck = pool.struck[fingerprint];
-        ++struck.strikes;
-        struck.at = now;
-    }
-    refuseStruck(pool, decisions);
-}
-
-void forgetStruck(PoolState &pool, Instant now)
-{
-    std::erase_if(pool.struck, [&](const auto &struck) { return now - struck.second.at > Suspects::Memory; });
-}
-
 Instant retryAfter(const PoolState &pool)
 {
     return std::clamp<Instant>(pool.holdTime / 2, milliseconds(200), seconds(5));
@@ -358,22 +337,24 @@
     const int capacity = capacityOf(pool);
     if (capacity == 0)
         return Instant::max();
-    double ahead = 0;
+    double higher = 0;
     double share = 1;
     for (int other = 0; other < TierCount; ++other) {
-        const FairQueue &queue = pool.queues[static_cast<std::size_t>(other)];
-        if (other < tier)
-            ahead += static_cast<double>(queue.size());
-        if (other == tier)
-            ahead += static_cast<double>(queue.ahead(account));
-        if (other > tier && queue.size() > 0)
-            share -= pool.floors[static_cast<std::size_t>(other)];
+        const auto index = static_cast<std::size_t>(other);
+        const auto waiting = static_cast<double>(pool.queues[index].size());
+        higher += other < tier ? waiting : 0;
+        share -= waiting > 0 ? pool.floors[index] : 0;
     }
+    const auto index = static_cast<std::size_t>(tier);
+    const auto own = static_cast<double>(pool.queues[index].ahead(account));
     const double free = std::max(0, capacity - inUse(pool));
-    if (ahead < free)
+    if (higher + own < free)
         return Instant{};
-    const double rounds = (ahead - free + 1) / (capacity * std::max(share, 0.05));
-    return Instant(static_cast<Instant::rep>(rounds * static_cast<double>(pool.holdTime.count())));
+    // Starts at the pool until this one's turn comes, in order of tiers or by the tier's own floor.
+    const double byOrder = (higher + own - free + 1) / share;
+    const double byFloor = pool.floors[index] > 0 ? (own + 1) / pool.floors[index] : byOrder;
+    const double startInterval = static_cast<double>(pool.holdTime.count()) / capacity;
+    return Instant(static_cast<Instant::rep>(std::min(byOrder, byFloor) * startInterval));
 }
 
 void ask(PoolState &pool, Ask request, Instant now, std::vector<Decision> &decisions)
@@ -383,7 +364,7 @@
     const auto refuse = [&](RefusalReason reason, Instant after) {
         decisions.emplace_back(Refusal{request.ticket, reason, after});
     };
-    if (strikesOf(pool, request) >= QuarantineStrikes)
+    if (strikesOf(pool, request, now) >= QuarantineStrikes)
         return refuse(RefusalReason::Quarantined, QuarantineRetry);
     if (!pool.mayGrant)
         return refuse(RefusalReason::HomeNotReady, milliseconds(500));
@@ -406,11 +387,11 @@
         if (found == upstream.slots.end())
             continue;
         if (ended.outcome == RunOutcome::Broken)
-            crash = crashOf(upstream);
+            crash = crashOf(upstream, found->second.incarnation);
         applyOutcome(pool, upstream, found->second, ended, now);
         upstream.slots.erase(found);
         if (crash)
-            strike(pool, *crash, now, decisions);
+            noteCrash(pool, *crash, now, decisions);
         grantFree(pool, now, decisions);
         return crash;
     }
@@ -431,16 +412,18 @@
     std::optional<CrashReport> crash;
     const bool restarted = !upstream.incarnation.empty() && upstream.incarnation != report.incarnation;
     if (restarted && !upstream.slots.empty())
-        crash = crashOf(upstream);
+        crash = crashOf(upstream, upstream.incarnation);
     if (restarted || !report.ready)
         enterCold(upstream);
-    else if (upstream.phase == Phase::Unknown)
+    else if (upstream.phase == Phase::Unknown && report.knownWarm)
         upstream.phase = Phase::Warm;
+    else if (upstream.phase == Phase::Unknown)
+        enterCold(upstream);
     upstream.incarnation = report.incarnation;
     upstream.reportedReady = report.ready;
     upstream.needsReport = false;
     if (crash)
-        strike(pool, *crash, now, decisions);
+        noteCrash(pool, *crash, now, decisions);
     grantFree(pool, now, decisions);
     return crash;
 }
@@ -452,17 +435,23 @@
         found->second.needsReport = true;
 }
 
-void setStrikes(PoolState &pool, std::uint64_t fingerprint, int strikes, Instant now,
-                std::vector<Decision> &decisions)
+void noteCrash(PoolState &pool, const CrashReport &crash, Instant now, std::vector<Decision> &decisions)
 {
-    if (strikes == 0) {
-        pool.struck.erase(fingerprint);
-        return;
+    pool.suspects.recordCrash(crash.upstream, crash.incarnation, crash.fingerprints, now);
+    for (const std::uint64_t fingerprint : crash.fingerprints)
+        pool.cleared.erase(fingerprint);
+    const auto isQuarantined = [&](const Ask &request) {
+        return strikesOf(pool, request, now) >= QuarantineStrikes;
+    };
+    for (FairQueue &queue : pool.queues) {
+        for (const Ask &struck : queue.removeWhere(isQuarantined))
+            decisions.emplace_back(Refusal{struck.ticket, RefusalReason::Quarantined, QuarantineRetry});
     }
-    StruckState &struck = pool.struck[fingerprint];
-    if (strikes > struck.strikes)
-        struck = {strikes, now};
-    refuseStruck(pool, decisions);
+}
+
+void noteCompletion(PoolState &pool, std::uint64_t fingerprint)
+{
+    pool.suspects.clear(fingerprint);
 }
 
 void adopt(PoolState &pool, const Ticket &ticket, std::string_view upstream, int tier,
@@ -470,7 +459,7 @@
 {
     const auto found = pool.upstreams.find(std::string(upstream));
     if (found != pool.upstreams.end() && !isKnown(pool, ticket))
-        found->second.slots[ticket] = {tier, fingerprint, false, now};
+        found->second.slots[ticket] = {tier, fingerprint, false, now, found->second.incarnation};
 }
 
 void holderAlive(PoolState &pool, const std::string &holder, std::uint64_t incarnation, Instant now,
@@ -499,7 +488,6 @@
 void tick(PoolState &pool, Instant now, std::vector<Decision> &decisions)
 {
     takeBackSilent(pool, now);
-    forgetStruck(pool, now);
     for (FairQueue &queue : pool.queues) {
         for (const Ask &late : queue.removeLate(now))
             decisions.emplace_back(Refusal{late.ticket, RefusalReason::WaitedTooLong, retryAfter(pool)});
--- a/src/policy/suspects.cpp
+++ b/src/policy/suspects.cpp
@@ -24,14 +24,17 @@
         crash = std::prev(m_crashes.end());
     }
     for (const std::uint64_t fingerprint : fingerprints) {
-        if (crash->fingerprints.insert(fingerprint).second)
-            ++m_strikes[fingerprint];
+        if (!crash->fingerprints.insert(fingerprint).second)
+            continue;
+        Record &record = m_records[fingerprint];
+        ++record.strikes;
+        record.last = now;
     }
 }
 
 void Suspects::clear(std::uint64_t fingerprint)
 {
-    if (m_strikes.erase(fingerprint) == 0)
+    if (m_records.erase(fingerprint) == 0)
         return;
     for (Crash &crash : m_crashes)
         crash.fingerprints.erase(fingerprint);
@@ -40,16 +43,22 @@
 int Suspects::strikes(std::uint64_t fingerprint, Instant now)
 {
     forgetExpired(now);
-    const auto found = m_strikes.find(fingerprint);
-    return found == m_strikes.end() ? 0 : found->second;
+    const auto found = m_records.find(fingerprint);
+    return found == m_records.end() ? 0 : found->second.strikes;
+}
+
+std::optional<Instant> Suspects::lastCrash(std::uint64_t fingerprint) const
+{
+    const auto found = m_records.find(fingerprint);
+    return found == m_records.end() ? std::nullopt : std::optional(found->second.last);
 }
 
 void Suspects::forgetOldest()
 {
     for (const std::uint64_t fingerprint : m_crashes.front().fingerprints) {
-        const auto found = m_strikes.find(fingerprint);
-        if (found != m_strikes.end() && --found->second <= 0)
-            m_strikes.erase(found);
+        const auto found = m_records.find(fingerprint);
+        if (found != m_records.end() && --found->second.strikes <= 0)
+            m_records.erase(found);
     }
     m_crashes.pop_front();
 }
--- /dev/null
+++ b/tests/policy/viewtest.cpp
@@ -0,0 +1,145 @@
+#include "chestnutsill/policy/placement.h"
+#include "chestnutsill/policy/retrybudget.h"
+#include "chestnutsill/policy/suspects.h"
+#include "chestnutsill/policy/versionguard.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+using namespace chestnutsill;
+
+namespace {
+
+Configuration version(std::uint64_t number)
+{
+    Configuration configuration;
+    configuration.version = number;
+    return configuration;
+}
+
+std::vector<Member> makeMembers(int count)
+{
+    std::vector<Member> members;
+    for (int i = 0; i < count; ++i)
+        members.push_back({"entry-" + std::to_string(i), "z", {}, {}, false});
+    return members;
+}
+
+} // namespace
+
+TEST_CASE("versions: only grow, under any order of documents")
+{
+    const bool held = rc::check("never back", [](const std::vector<std::uint8_t> &order) {
+        VersionGuard guard;
+        std::uint64_t highest = 0;
+        for (const std::uint64_t number : order) {
+            const bool accepted = guard.accept(version(number), std::to_string(number));
+            RC_ASSERT(accepted == (number > highest));
+            highest = std::max(highest, number);
+            RC_ASSERT(guard.version() == highest);
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE("versions: when new work may rely on the view")
+{
+    VersionGuard guard;
+    guard.confirm(0, seconds(10));
+    CHECK(guard.state(seconds(10)) == ViewState::Starting);
+    guard.accept(version(1), {});
+    guard.confirm(1, seconds(10));
+    CHECK(guard.state(seconds(10)) == ViewState::Starting);
+    guard.peersAsked();
+    CHECK(guard.state(seconds(10)) == ViewState::Current);
+    CHECK(guard.state(seconds(10) + VersionGuard::MaxAge) == ViewState::Current);
+    CHECK(guard.state(seconds(11) + VersionGuard::MaxAge) == ViewState::Stale);
+    guard.confirm(2, seconds(20));
+    CHECK(guard.state(seconds(20)) == ViewState::Stale);
+    guard.accept(version(2), {});
+    CHECK(guard.state(seconds(20)) == ViewState::Current);
+}
+
+TEST_CASE("homes: spread over members, and move only with the member that is gone or leaves")
+{
+    auto members = makeMembers(8);
+    std::map<std::string, int> counts;
+    std::map<std::string, std::string> before;
+    for (int i = 0; i < 800; ++i) {
+        const std::string pool = "model/" + std::to_string(i);
+        before[pool] = homeOf(pool, members)->name;
+        ++counts[before[pool]];
+    }
+    for (const auto &[name, count] : counts)
+        CHECK(count > 50);
+    members[3].leaving = true;
+    for (const auto &[pool, home] : before) {
+        const std::string now = homeOf(pool, members)->name;
+        CHECK((home == "entry-3" ? now != home : now == home));
+    }
+    CHECK(homeOf("model/1", {}) == nullptr);
+}
+
+TEST_CASE("homes: a term grants after the takeover wait, and starts anew after a pause or a change")
+{
+    HomeTerm term;
+    Instant time = seconds(50);
+    const auto runFor = [&](Instant span) {
+        for (const Instant end = time + span; time < end; time += milliseconds(100))
+            updateTerm(term, true, time);
+    };
+    runFor(TakeoverWait);
+    CHECK_FALSE(mayGrant(term, time - milliseconds(100)));
+    runFor(milliseconds(200));
+    CHECK(mayGrant(term, time - milliseconds(100)));
+    // Paused: even before the next tick it must not grant.
+    time += seconds(5);
+    CHECK_FALSE(mayGrant(term, time));
+    updateTerm(term, true, time);
+    CHECK_FALSE(mayGrant(term, time));
+    runFor(TakeoverWait + milliseconds(200));
+    CHECK(mayGrant(term, time - milliseconds(100)));
+    updateTerm(term, false, time);
+    updateTerm(term, true, time);
+    CHECK_FALSE(mayGrant(term, time));
+}
+
+TEST_CASE("suspects: each crash counts once, completion clears, memory is bounded")
+{
+    Suspects suspects;
+    const std::uint64_t running[] = {1, 2};
+    const std::uint64_t more[] = {1, 3};
+    suspects.recordCrash("u", "first", running, seconds(1));
+    suspects.recordCrash("u", "first", running, seconds(1));
+    suspects.recordCrash("u", "first", more, seconds(1));
+    CHECK(suspects.strikes(1, seconds(2)) == 1);
+    CHECK(suspects.strikes(3, seconds(2)) == 1);
+    suspects.recordCrash("u", "second", running, seconds(2));
+    CHECK(suspects.strikes(1, seconds(2)) == 2);
+    suspects.clear(2);
+    CHECK(suspects.strikes(2, seconds(2)) == 0);
+    CHECK(suspects.strikes(1, seconds(2)) == 2);
+    CHECK(suspects.strikes(1, seconds(3) + Suspects::Memory) == 0);
+    CHECK(suspects.size() == 0);
+    for (std::size_t i = 0; i < 3 * Suspects::MaxCrashes; ++i) {
+        const std::uint64_t fingerprint[] = {i + 10};
+        suspects.recordCrash("u", std::to_string(i), fingerprint, seconds(700));
+    }
+    CHECK(suspects.size() <= Suspects::MaxCrashes);
+    CHECK(fingerprintOf("a", "body") != fingerprintOf("b", "body"));
+}
+
+TEST_CASE("retry budget: retries stay a tenth of requests in the long run")
+{
+    RetryBudget budget;
+    int retries = 0;
+    for (int request = 0; request < 1000; ++request) {
+        budget.earn();
+        while (budget.spend())
+            ++retries;
+    }
+    CHECK(retries <= 100 + static_cast<int>(RetryBudget::Max));
+    CHECK(retries >= 90);
+}
