--- a/bench/callers.cpp
+++ b/bench/callers.cpp
@@ -1,6 +1,7 @@
 #include "callers.h"
 
 #include "chestnutsill/net/httpclient.h"
+#include "chestnutsill/policy/hash.h"
 
 #include <boost/json.hpp>
 
@@ -94,26 +95,28 @@
 
 void Callers::offer(const ClassLoad &load, double duration, const LoadShape &shape, const Fiber &fiber)
 {
+    // Arrivals depend on the seed and the class alone, so that both systems get the same load.
+    std::mt19937_64 random(stableHash(load.requestClass, m_seed));
     double next = 0;
     for (;;) {
         const double rate = load.rate * shape.factor(load.requestClass, next);
-        next += std::exponential_distribution<double>(rate)(m_random);
+        next += std::exponential_distribution<double>(rate)(random);
         if (next >= duration)
             return;
         const double wait = next - elapsed();
         if (wait > 0)
             sleepFor(milliseconds(static_cast<int>(wait * 1000)), fiber);
-        const bool large = std::uniform_real_distribution<double>(0, 1)(m_random) < shape.largeAccountShare;
-        const int account = large ? 0 : std::uniform_int_distribution<int>(1, 9)(m_random);
-        const std::uint64_t number = m_next++;
-        ++m_outcomes[load.requestClass].offered;
-        startFiber(m_io, [this, &load, account, number](const Fiber &sending) {
-            send(load, "account-" + std::to_string(account), number, sending);
+        const bool large = std::uniform_real_distribution<double>(0, 1)(random) < shape.largeAccountShare;
+        const int account = large ? 0 : std::uniform_int_distribution<int>(1, 9)(random);
+        const std::string content =
+            load.requestClass + '-' + std::to_string(m_outcomes[load.requestClass].offered++);
+        startFiber(m_io, [this, &load, account, content](const Fiber &sending) {
+            send(load, "account-" + std::to_string(account), content, sending);
         });
     }
 }
 
-void Callers::send(const ClassLoad &load, const std::string &account, std::uint64_t number,
+void Callers::send(const ClassLoad &load, const std::string &account, const std::string &content,
                    const Fiber &fiber)
 {
     ClassOutcome &outcome = m_outcomes[load.requestClass];
@@ -125,7 +128,7 @@
     const auto arrived = std::chrono::steady_clock::now();
     const std::string body = R"({"model":")" + item->model + R"(","stream":)"
                              + (load.stream ? "true" : "false") + R"(,"messages":[{"role":"user","content":")"
-                             + std::to_string(m_seed) + '-' + std::to_string(number) + R"("}]})";
+                             + std::to_string(m_seed) + '-' + content + R"("}]})";
     HttpClient client;
     Address address;
     bool connected = false;
@@ -137,7 +140,7 @@
     std::vector<HttpField> fields{{"chestnutsill-account", account},
                                   {"chestnutsill-class", load.requestClass},
                                   {"content-type", "application/json"}};
-    const std::string nonce = "bench-" + std::to_string(m_seed) + '-' + std::to_string(number);
+    const std::string nonce = "bench-" + std::to_string(m_seed) + '-' + content;
     if (!item->repeatable)
         fields.push_back({"chestnutsill-request-id", address.requestIdPrefix + nonce});
     if (!connected || !client.send({"POST", load.target, fields, body}, AnswerTimeout, fiber)) {
@@ -165,7 +168,10 @@
         ++outcome.answered;
         outcome.tokens += countEvents(text);
         outcome.firstTokenMs.push_back(firstTokenMs);
-        outcome.attained += firstTokenMs <= static_cast<double>(item->firstTokenTarget.count()) ? 1 : 0;
+        if (firstTokenMs <= static_cast<double>(item->firstTokenTarget.count())) {
+            ++outcome.attained;
+            outcome.tokensInTime += countEvents(text);
+        }
     } else if (head && head->field("chestnutsill-verdict") == "not-run") {
         ++outcome.refused;
     } else {
--- a/bench/callers.h
+++ b/bench/callers.h
@@ -27,6 +27,8 @@
     std::int64_t failed = 0;
     /// Tokens of whole answers.
     std::int64_t tokens = 0;
+    /// Tokens of whole answers whose first token came in time.
+    std::int64_t tokensInTime = 0;
     std::vector<double> firstTokenMs;
 };
 
@@ -64,7 +66,8 @@
 
     void refreshAddresses(const Fiber &fiber);
     void offer(const ClassLoad &load, double duration, const LoadShape &shape, const Fiber &fiber);
-    void send(const ClassLoad &load, const std::string &account, std::uint64_t number, const Fiber &fiber);
+    void send(const ClassLoad &load, const std::string &account, const std::string &content,
+              const Fiber &fiber);
     [[nodiscard]] double elapsed() const;
 
     const Deployment &m_deployment;
@@ -75,7 +78,6 @@
     std::chrono::steady_clock::time_point m_start;
     std::vector<Address> m_addresses;
     Outcomes m_outcomes;
-    std::uint64_t m_next = 1;
     const std::uint64_t m_seed;
 };
 
--- a/bench/scenes.cpp
+++ b/bench/scenes.cpp
@@ -160,7 +160,7 @@
 {
     std::int64_t delivered = 0;
     for (const auto &[name, outcome] : outcomes)
-        delivered += outcome.tokens;
+        delivered += outcome.tokensInTime;
     return static_cast<double>(delivered) / seconds;
 }
 
--- a/bench/scenes.h
+++ b/bench/scenes.h
@@ -25,7 +25,7 @@
     /// Tokens that reached no caller as part of a whole answer, as a share of those generated.
     [[nodiscard]] double wastedShare() const;
 
-    /// Tokens of whole answers a second.
+    /// Tokens, a second, of whole answers whose first token came in time.
     [[nodiscard]] double goodput() const;
 };
 
--- /dev/null
+++ b/examples/verdicts.cpp
@@ -0,0 +1,15 @@
+// Builds a refusal whose verdict a caller can act on.
+
+#include <chestnutsill/chestnutsill.h>
+
+#include <iostream>
+
+int main()
+{
+    using namespace chestnutsill;
+    const Answer answer =
+        refusal(503, Verdict::NotRun, "would-be-late", "capacity", "demand of higher tiers");
+    std::cout << answer.status << ' ' << toString(answer.verdict) << '\n' << answer.body;
+    const auto verdict = verdictFromString("may-have-run");
+    return verdict == Verdict::MayHaveRun ? 0 : 1;
+}
--- a/include/chestnutsill/net/httpclient.h
+++ b/include/chestnutsill/net/httpclient.h
@@ -50,6 +50,9 @@
     [[nodiscard]] std::optional<HttpResponse> call(const HttpCall &call, std::size_t maxBody,
                                                    std::chrono::milliseconds timeout, const Fiber &fiber);
 
+    /// Closes the connection; what waits on it fails.
+    void close();
+
     /// Whether the last failure was a timeout.
     [[nodiscard]] bool timedOut() const noexcept;
 
--- a/include/chestnutsill/peer/peernode.h
+++ b/include/chestnutsill/peer/peernode.h
@@ -80,9 +80,12 @@
     /// Processor time used by the peer thread.
     [[nodiscard]] std::chrono::microseconds processorTime() const;
 
-    /// Bytes sent and received on peer links.
+    /// Payload bytes of the calls made and of their results.
     [[nodiscard]] std::uint64_t bytes() const noexcept;
 
+    /// Number of calls made.
+    [[nodiscard]] std::uint64_t calls() const noexcept;
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -57,6 +57,17 @@
     return usage.ru_maxrss;
 }
 
+/// Processor time of the whole process.
+double processCpuSeconds()
+{
+    rusage usage{};
+    ::getrusage(RUSAGE_SELF, &usage);
+    constexpr double Micro = 1e-6;
+    const auto whole = usage.ru_utime.tv_sec + usage.ru_stime.tv_sec;
+    return static_cast<double>(whole)
+           + Micro * static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+}
+
 std::string metricsPage(const AdminParts &parts)
 {
     std::string page = parts.metrics.exposition();
@@ -68,7 +79,11 @@
     gauge("configuration_version", parts.view.published().version);
     gauge("request_ids", parts.owner.size());
     gauge("suspects", parts.suspects.size());
-    gauge("peer_thread_cpu_seconds_total", std::chrono::duration<double>(parts.controlTime()).count());
+    gauge("peer_thread_cpu_seconds_total",
+          std::chrono::duration<double>(parts.peers.processorTime()).count());
+    gauge("peer_calls_total", parts.peers.calls());
+    gauge("peer_payload_bytes_total", parts.peers.bytes());
+    gauge("process_cpu_seconds_total", processCpuSeconds());
     gauge("peak_resident_kib", peakResidentKiB());
     return page;
 }
--- a/src/daemon/admin.h
+++ b/src/daemon/admin.h
@@ -29,7 +29,7 @@
     Gossip &gossip;
     const std::atomic<bool> &leaving;
     std::function<int()> activeRequests;
-    std::function<std::chrono::microseconds()> controlTime;
+    const PeerNode &peers;
 };
 
 /// Answers `GET /v1/addresses`: the instances to use, how long to keep the answer, and the prefix that each
--- /dev/null
+++ b/src/daemon/call.cpp
@@ -0,0 +1,132 @@
+#include "daemon/call.h"
+
+#include "chestnutsill/policy/suspects.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace chestnutsill {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view ChatTarget = "/v1/chat/completions";
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+std::string accountOf(const HttpRequest &request)
+{
+    const std::string_view named = request.field(AccountField);
+    if (!named.empty())
+        return std::string(named);
+    const std::string_view authorization = request.field("authorization");
+    if (authorization.substr(0, BearerPrefix.size()) == BearerPrefix)
+        return std::string(authorization.substr(BearerPrefix.size()));
+    return {};
+}
+
+const RequestClass *classOfModel(const Configuration &configuration, std::string_view model)
+{
+    for (const RequestClass &item : configuration.classes) {
+        if (item.repeatable && item.model == model)
+            return &item;
+    }
+    return nullptr;
+}
+
+std::string_view textOf(const json::object &object, std::string_view field)
+{
+    const json::value *value = object.if_contains(field);
+    if (value == nullptr || !value->is_string())
+        return {};
+    return {value->get_string().data(), value->get_string().size()};
+}
+
+/// Reads the caller's own deadline, if any.
+std::optional<Answer> readDeadline(Call &call, const HttpRequest &request)
+{
+    const std::string_view deadline = request.field(DeadlineField);
+    if (deadline.empty())
+        return std::nullopt;
+    std::int64_t value = 0;
+    const char *end = deadline.data() + deadline.size();
+    const auto [stop, error] = std::from_chars(deadline.data(), end, value);
+    if (error != std::errc() || stop != end)
+        return refuse(call, 400, "malformed-deadline", DeadlineField,
+                      "must be a whole number of milliseconds");
+    if (value <= 0)
+        return refuse(call, 504, "deadline-past", DeadlineField, "the deadline has passed");
+    call.callerDeadline = milliseconds(value);
+    return std::nullopt;
+}
+
+void setBounds(Call &call)
+{
+    const RequestClass &item = *call.requestClass;
+    const milliseconds deadline = std::min(call.callerDeadline.value_or(item.deadline), item.deadline);
+    call.endBy = call.arrivedAt + deadline;
+    const milliseconds start = item.repeatable ? std::min(item.firstTokenTarget, deadline) : deadline;
+    call.startBy = call.arrivedAt + start;
+    call.fingerprint = fingerprintOf(call.account, call.body);
+}
+
+} // namespace
+
+Answer refuse(const Call &call, int status, std::string_view reason, std::string_view field,
+              std::string_view message)
+{
+    const Verdict verdict = call.requestIdText.empty() ? Verdict::NotRun : Verdict::MayHaveRun;
+    return refusal(status, verdict, reason, field, message);
+}
+
+std::optional<Answer> identify(Call &call, const HttpRequest &request, const ClusterView &view, bool closed)
+{
+    call.requestIdText = request.field(RequestIdField);
+    call.account = accountOf(request);
+    if (request.fault)
+        return refuse(call, request.fault->status, request.fault->reason, request.fault->field,
+                      request.fault->message);
+    if (closed)
+        return refuse(call, 503, "leaving", "instance",
+                      "this instance is leaving; ask another for addresses");
+    call.configuration = view.configuration();
+    if (!call.configuration)
+        return refuse(call, 503, "starting", "instance", "this instance has no configuration yet");
+    const auto &accounts = call.configuration->accounts;
+    if (std::find(accounts.begin(), accounts.end(), call.account) == accounts.end())
+        return refuse(call, 401, "unknown-account", AccountField,
+                      "name a client account in chestnutsill-account or as a bearer token");
+    return std::nullopt;
+}
+
+std::optional<Answer> classify(Call &call, const HttpRequest &request)
+{
+    call.method = request.method;
+    call.target = request.target;
+    call.contentType = request.field("content-type");
+    call.body = request.body;
+    const std::string_view name = request.field(ClassField);
+    call.requestClass = findClass(*call.configuration, name);
+    if (!name.empty() && call.requestClass == nullptr)
+        return refuse(call, 400, "unknown-class", ClassField, "the configuration names no such class");
+    if (call.target == ChatTarget) {
+        json::error_code error;
+        const json::value body = json::parse({call.body.data(), call.body.size()}, error);
+        if (error || !body.is_object())
+            return refuse(call, 400, "malformed-body", "body", "the body must be a JSON object");
+        if (call.requestClass == nullptr)
+            call.requestClass = classOfModel(*call.configuration, textOf(body.get_object(), "model"));
+        const json::value *stream = body.get_object().if_contains("stream");
+        call.stream = stream != nullptr && stream->is_bool() && stream->get_bool();
+    }
+    if (call.requestClass == nullptr)
+        return refuse(call, 400, "unknown-class", ClassField, "name a class, or a model that a class uses");
+    if (const auto refused = readDeadline(call, request))
+        return refused;
+    setBounds(call);
+    return std::nullopt;
+}
+
+} // namespace chestnutsill
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -63,7 +63,7 @@
                   m_gossip,
                   m_leaving,
                   [this] { return m_server->activeRequests(); },
-                  [this] { return m_peers.processorTime(); }}
+                  m_peers}
     {
         m_capacity.setPeers(&m_peers);
         m_gossip.setPeers(&m_peers);
--- a/src/daemon/pipeline.cpp
+++ b/src/daemon/pipeline.cpp
@@ -2,67 +2,18 @@
 
 #include "chestnutsill/net/mailbox.h"
 #include "chestnutsill/observe/log.h"
-#include "chestnutsill/policy/suspects.h"
-
-#include <boost/json.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace chestnutsill {
 
 namespace {
 
-namespace json = boost::json;
-
-constexpr std::string_view AccountField = "chestnutsill-account";
-constexpr std::string_view ClassField = "chestnutsill-class";
-constexpr std::string_view RequestIdField = "chestnutsill-request-id";
-constexpr std::string_view DeadlineField = "chestnutsill-deadline-ms";
-constexpr std::string_view ChatTarget = "/v1/chat/completions";
-constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr int MaxAttempts = 6;
 constexpr milliseconds ForwardMargin{1000};
 constexpr milliseconds RetryPause{50};
 
-/// Refuses a request that has not been sent. A request id that came with it may have run before, so only a
-/// request without one is said not to have run.
-Answer refuse(const Call &call, int status, std::string_view reason, std::string_view field,
-              std::string_view message)
-{
-    const Verdict verdict = call.requestIdText.empty() ? Verdict::NotRun : Verdict::MayHaveRun;
-    return refusal(status, verdict, reason, field, message);
-}
-
-std::string accountOf(const HttpRequest &request)
-{
-    const std::string_view named = request.field(AccountField);
-    if (!named.empty())
-        return std::string(named);
-    const std::string_view authorization = request.field("authorization");
-    if (authorization.substr(0, BearerPrefix.size()) == BearerPrefix)
-        return std::string(authorization.substr(BearerPrefix.size()));
-    return {};
-}
-
-const RequestClass *classOfModel(const Configuration &configuration, std::string_view model)
-{
-    for (const RequestClass &item : configuration.classes) {
-        if (item.repeatable && item.model == model)
-            return &item;
-    }
-    return nullptr;
-}
-
-std::string_view textOf(const json::object &object, std::string_view field)
-{
-    const json::value *value = object.if_contains(field);
-    if (value == nullptr || !value->is_string())
-        return {};
-    return {value->get_string().data(), value->get_string().size()};
-}
-
 milliseconds pauseBeforeRetry(RunOutcome outcome)
 {
     if (outcome == RunOutcome::Broken)
@@ -104,7 +55,7 @@
     Call call;
     call.arrivedAt = now();
     call.isAbandoned = [&exchange] { return exchange.callerGone(); };
-    if (const auto refused = identify(call, exchange.request()))
+    if (const auto refused = identify(call, exchange.request(), m_parts.view, m_parts.closed))
         return respond(exchange, call, *refused, fiber);
     if (const auto refused = classify(call, exchange.request()))
         return respond(exchange, call, *refused, fiber);
@@ -115,74 +66,6 @@
     respond(exchange, call, runWhole(call, fiber), fiber);
 }
 
-std::optional<Answer> Pipeline::identify(Call &call, const HttpRequest &request) const
-{
-    call.requestIdText = request.field(RequestIdField);
-    call.account = accountOf(request);
-    if (request.fault)
-        return refuse(call, request.fault->status, request.fault->reason, request.fault->field,
-                      request.fault->message);
-    if (m_parts.closed)
-        return refuse(call, 503, "leaving", "instance",
-                      "this instance is leaving; ask another for addresses");
-    call.configuration = m_parts.view.configuration();
-    if (!call.configuration)
-        return refuse(call, 503, "starting", "instance", "this instance has no configuration yet");
-    const auto &accounts = call.configuration->accounts;
-    if (std::find(accounts.begin(), accounts.end(), call.account) == accounts.end())
-        return refuse(call, 401, "unknown-account", AccountField,
-                      "name a client account in chestnutsill-account or as a bearer token");
-    return std::nullopt;
-}
-
-std::optional<Answer> Pipeline::classify(Call &call, const HttpRequest &request) const
-{
-    call.method = request.method;
-    call.target = request.target;
-    call.contentType = request.field("content-type");
-    call.body = request.body;
-    const std::string_view name = request.field(ClassField);
-    call.requestClass = findClass(*call.configuration, name);
-    if (!name.empty() && call.requestClass == nullptr)
-        return refuse(call, 400, "unknown-class", ClassField, "the configuration names no such class");
-    if (call.target == ChatTarget) {
-        json::error_code error;
-        const json::value body = json::parse({call.body.data(), call.body.size()}, error);
-        if (error || !body.is_object())
-            return refuse(call, 400, "malformed-body", "body", "the body must be a JSON object");
-        if (call.requestClass == nullptr)
-            call.requestClass = classOfModel(*call.configuration, textOf(body.get_object(), "model"));
-        const json::value *stream = body.get_object().if_contains("stream");
-        call.stream = stream != nullptr && stream->is_bool() && stream->get_bool();
-    }
-    if (call.requestClass == nullptr)
-        return refuse(call, 400, "unknown-class", ClassField, "name a class, or a model that a class uses");
-    const std::string_view deadline = request.field(DeadlineField);
-    if (!deadline.empty()) {
-        std::int64_t value = 0;
-        const char *end = deadline.data() + deadline.size();
-        const auto [stop, error] = std::from_chars(deadline.data(), end, value);
-        if (error != std::errc() || stop != end)
-            return refuse(call, 400, "malformed-deadline", DeadlineField,
-                          "must be a whole number of milliseconds");
-        if (value <= 0)
-            return refuse(call, 504, "deadline-past", DeadlineField, "the deadline has passed");
-        call.callerDeadline = milliseconds(value);
-    }
-    setBounds(call);
-    return std::nullopt;
-}
-
-void Pipeline::setBounds(Call &call) const
-{
-    const RequestClass &item = *call.requestClass;
-    const milliseconds deadline = std::min(call.callerDeadline.value_or(item.deadline), item.deadline);
-    call.endBy = call.arrivedAt + deadline;
-    const milliseconds start = item.repeatable ? std::min(item.firstTokenTarget, deadline) : deadline;
-    call.startBy = call.arrivedAt + start;
-    call.fingerprint = fingerprintOf(call.account, call.body);
-}
-
 Answer Pipeline::needRequestId() const
 {
     return refusal(428, Verdict::NotRun, "request-id-needed", RequestIdField,
@@ -255,7 +138,7 @@
                                      {"content-type", forwarded.contentType}};
                    Call call;
                    call.arrivedAt = now();
-                   if (const auto refused = identify(call, request))
+                   if (const auto refused = identify(call, request, m_parts.view, m_parts.closed))
                        return done(*refused);
                    if (const auto refused = classify(call, request))
                        return done(*refused);
@@ -323,10 +206,6 @@
 
 Answer Pipeline::run(Call &call, const UpstreamSink &sink, Attempt &last, const Fiber &fiber)
 {
-    {
-        const std::lock_guard lock(m_budgetMutex);
-        m_budget.earn();
-    }
     CapacityNeed need{call.requestClass->model,
                       call.requestClass->tier,
                       call.account,
@@ -335,6 +214,11 @@
                       call.startBy,
                       {},
                       false};
+    {
+        const std::lock_guard lock(m_budgetMutex);
+        m_budget.earn();
+        need.overForecast = m_pacer.isOver(*call.requestClass, memberCount(), call.arrivedAt);
+    }
     int crashes = 0;
     bool mayHaveRun = false;
     for (int tries = 0; tries < MaxAttempts; ++tries) {
@@ -394,8 +278,7 @@
     request.tier = call.requestClass->tier;
     request.stream = call.stream;
     request.endBy = std::min(call.endBy, now() + MaxRunTime);
-    return callUpstream(
-        held, request, [&] { return mayStart(call, held); }, sink, fiber);
+    return callUpstream(held, request, {[&] { return mayStart(call, held); }, call.isAbandoned}, sink, fiber);
 }
 
 bool Pipeline::mayStart(const Call &call, const HeldGrant &held) const
@@ -436,7 +319,13 @@
              {"requestId", call.requestIdText}});
 }
 
-void Pipeline::account(const Call &call, const Answer &answer, const Attempt &last) const
+std::size_t Pipeline::memberCount() const
+{
+    const auto list = m_parts.view.list();
+    return list ? list->members.size() : 1;
+}
+
+void Pipeline::account(const Call &call, const Answer &answer, const Attempt &last)
 {
     constexpr std::size_t BytesPerToken = 4;
     Metrics::Request record;
@@ -451,6 +340,9 @@
     record.tokensOut = answered ? last.tokens : 0;
     record.tokensWasted = answered ? 0 : last.tokens;
     m_parts.metrics.record(record);
+    const auto used = static_cast<double>(record.tokensIn + last.tokens);
+    const std::lock_guard lock(m_budgetMutex);
+    m_pacer.use(*call.requestClass, memberCount(), used, now());
 }
 
 } // namespace chestnutsill
--- a/src/daemon/pipeline.h
+++ b/src/daemon/pipeline.h
@@ -4,8 +4,10 @@
 #include "chestnutsill/observe/metrics.h"
 #include "chestnutsill/peer/peernode.h"
 #include "chestnutsill/policy/configuration.h"
+#include "chestnutsill/policy/forecastpacer.h"
 #include "chestnutsill/policy/requestid.h"
 #include "chestnutsill/policy/retrybudget.h"
+#include "daemon/call.h"
 #include "daemon/capacity.h"
 #include "daemon/clusterview.h"
 #include "daemon/owner.h"
@@ -35,29 +37,6 @@
     const std::atomic<bool> &closed;
 };
 
-/// One request on its way through the pipeline.
-struct Call
-{
-    Instant arrivedAt{};
-    std::string account;
-    std::string method;
-    std::string target;
-    std::string contentType;
-    std::string body;
-    std::string requestIdText;
-    /// Asked for by the caller, in place of the class's own deadline.
-    std::optional<milliseconds> callerDeadline;
-    std::shared_ptr<const Configuration> configuration;
-    const RequestClass *requestClass = nullptr;
-    bool stream = false;
-    std::uint64_t fingerprint = 0;
-    /// Latest useful start, and the instant at which the run must have ended.
-    Instant startBy{};
-    Instant endBy{};
-    /// Polled while the request waits.
-    std::function<bool()> isAbandoned;
-};
-
 /// The way of a request from the caller to an upstream and back: identify, classify, own, admit, choose,
 /// send, relay, account. Each filter either passes the call on or ends it with an answer.
 class Pipeline
@@ -72,10 +51,6 @@
     void handleForwarded(ForwardedRequest request, std::function<void(Answer)> done);
 
 private:
-    [[nodiscard]] std::optional<Answer> identify(Call &call, const HttpRequest &request) const;
-    [[nodiscard]] std::optional<Answer> classify(Call &call, const HttpRequest &request) const;
-    void setBounds(Call &call) const;
-
     [[nodiscard]] Answer own(Call &call, const Fiber &fiber);
     [[nodiscard]] Answer runOwned(Call &call, const RequestId &id, const Fiber &fiber);
     [[nodiscard]] Answer passToOwner(const Call &call, const RequestId &id, const Fiber &fiber);
@@ -90,12 +65,14 @@
     [[nodiscard]] bool mayRetry(const Call &call, const Attempt &attempt);
 
     void respond(Exchange &exchange, const Call &call, const Answer &answer, const Fiber &fiber) const;
-    void account(const Call &call, const Answer &answer, const Attempt &last) const;
+    void account(const Call &call, const Answer &answer, const Attempt &last);
+    [[nodiscard]] std::size_t memberCount() const;
 
     PipelineParts m_parts;
     std::atomic<std::uint64_t> m_nextAttempt = 1;
     std::mutex m_budgetMutex;
     RetryBudget m_budget;
+    ForecastPacer m_pacer;
 };
 
 } // namespace chestnutsill
--- a/src/daemon/upstreamcall.cpp
+++ b/src/daemon/upstreamcall.cpp
@@ -4,8 +4,11 @@
 #include "daemon/identity.h"
 #include "daemon/loadreport.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <array>
+#include <memory>
 
 namespace chestnutsill {
 
@@ -13,6 +16,7 @@
 
 constexpr milliseconds ConnectTimeout{400};
 constexpr milliseconds SendTimeout{2000};
+constexpr milliseconds AbandonPoll{100};
 constexpr std::string_view EventMark = "data:";
 constexpr std::string_view DoneMark = "data: [DONE]";
 
@@ -125,33 +129,102 @@
     attempt.verdict = Verdict::Answered;
 }
 
-} // namespace
-
-Attempt callUpstream(const HeldGrant &held, const UpstreamRequest &request,
-                     const std::function<bool()> &mayStart, const UpstreamSink &sink, const Fiber &fiber)
+/// Sends the request and passes the answer on.
+void exchange(HttpClient &client, const UpstreamRequest &request, const UpstreamSink &sink, Attempt &attempt,
+              const Fiber &fiber)
 {
-    Attempt attempt;
-    HttpClient client;
-    if (!prepare(client, held, attempt, fiber))
-        return attempt;
-    if (!mayStart())
-        return fail(attempt, RunOutcome::NotStarted, "the grant may no longer be used");
     const Instant sentAt = now();
     attempt.verdict = Verdict::MayHaveRun;
-    if (!sendRequest(client, request, fiber))
-        return fail(attempt, breakOutcome(client), client.lastReason());
+    if (!sendRequest(client, request, fiber)) {
+        fail(attempt, breakOutcome(client), client.lastReason());
+        return;
+    }
     const milliseconds headTimeout =
         request.stream ? std::min(request.silence, remaining(request.endBy)) : remaining(request.endBy);
     const auto head = client.readHead(headTimeout, fiber);
-    if (!head)
-        return fail(attempt, breakOutcome(client), client.lastReason());
+    if (!head) {
+        fail(attempt, breakOutcome(client), client.lastReason());
+        return;
+    }
     attempt.status = head->status;
     const std::string_view echoed = head->field("x-request-id");
-    if (!echoed.empty() && echoed != request.attemptId)
-        return fail(attempt, RunOutcome::WrongAnswer, "the answer belongs to another request");
-    if (!sink.head(*head))
-        return fail(attempt, RunOutcome::Cancelled, "the caller has gone");
+    if (!echoed.empty() && echoed != request.attemptId) {
+        fail(attempt, RunOutcome::WrongAnswer, "the answer belongs to another request");
+        return;
+    }
+    if (!sink.head(*head)) {
+        fail(attempt, RunOutcome::Cancelled, "the caller has gone");
+        return;
+    }
     relayBody(client, request, sink, sentAt, attempt, fiber);
+}
+
+/// Closes the connection to the upstream once the caller has gone, also while nothing arrives from the
+/// upstream.
+class AbandonWatch
+{
+public:
+    AbandonWatch(HttpClient &client, const std::function<bool()> &isAbandoned, const Fiber &fiber)
+        : m_state(std::make_shared<State>(
+            State{client, isAbandoned, boost::asio::steady_timer(fiber.get_executor()), false, false}))
+    {
+        poll(m_state);
+    }
+
+    ~AbandonWatch()
+    {
+        m_state->ended = true;
+        m_state->timer.cancel();
+    }
+
+    AbandonWatch(const AbandonWatch &) = delete;
+    AbandonWatch &operator=(const AbandonWatch &) = delete;
+
+    [[nodiscard]] bool hasClosed() const noexcept { return m_state->closed; }
+
+private:
+    struct State
+    {
+        HttpClient &client;
+        std::function<bool()> isAbandoned;
+        boost::asio::steady_timer timer;
+        bool ended;
+        bool closed;
+    };
+
+    static void poll(const std::shared_ptr<State> &state)
+    {
+        state->timer.expires_after(AbandonPoll);
+        state->timer.async_wait([state](const boost::system::error_code &) {
+            if (state->ended)
+                return;
+            if (!state->isAbandoned()) {
+                poll(state);
+                return;
+            }
+            state->closed = true;
+            state->client.close();
+        });
+    }
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace
+
+Attempt callUpstream(const HeldGrant &held, const UpstreamRequest &request, const AttemptChecks &checks,
+                     const UpstreamSink &sink, const Fiber &fiber)
+{
+    Attempt attempt;
+    HttpClient client;
+    if (!prepare(client, held, attempt, fiber))
+        return attempt;
+    if (!checks.mayStart())
+        return fail(attempt, RunOutcome::NotStarted, "the grant may no longer be used");
+    AbandonWatch watch(client, checks.isAbandoned, fiber);
+    exchange(client, request, sink, attempt, fiber);
+    if (watch.hasClosed())
+        return fail(attempt, RunOutcome::Cancelled, "the caller has gone");
     return attempt;
 }
 
--- a/src/daemon/upstreamcall.h
+++ b/src/daemon/upstreamcall.h
@@ -36,6 +36,15 @@
     std::function<bool(std::string_view piece)> piece;
 };
 
+/// Asked while an attempt goes on.
+struct AttemptChecks
+{
+    /// Asked just before the first byte is sent.
+    std::function<bool()> mayStart;
+    /// Polled; once it returns true the run is cancelled.
+    std::function<bool()> isAbandoned;
+};
+
 /// How an attempt ended.
 struct Attempt
 {
@@ -60,7 +69,6 @@
 /// Every attempt has a connection of its own, so that none is lost to a connection that the network has
 /// forgotten.
 [[nodiscard]] Attempt callUpstream(const HeldGrant &held, const UpstreamRequest &request,
-                                   const std::function<bool()> &mayStart, const UpstreamSink &sink,
-                                   const Fiber &fiber);
+                                   const AttemptChecks &checks, const UpstreamSink &sink, const Fiber &fiber);
 
 } // namespace chestnutsill
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -134,6 +134,12 @@
     }
 }
 
+void HttpClient::close()
+{
+    if (m_impl->stream)
+        m_impl->stream->close();
+}
+
 bool HttpClient::timedOut() const noexcept
 {
     return m_impl->timedOut;
--- a/src/peer/peernode.cpp
+++ b/src/peer/peernode.cpp
@@ -65,12 +65,16 @@
     {
         m_loop.post([this, peer, timeout, done = std::move(done), makeRequest, readResult](auto &context) {
             auto work = open(peer, context).then([this, peer, makeRequest] {
-                return makeRequest(m_links[peer].link->peer).send();
+                auto request = makeRequest(m_links[peer].link->peer);
+                m_words += request.totalSize().wordCount;
+                ++m_callCount;
+                return request.send();
             });
             auto sharedDone = std::make_shared<Done<T>>(done);
             auto bounded = context.timer.timeoutAfter(toKj(timeout), kj::mv(work));
             m_calls->add(bounded.then(
-                [sharedDone, readResult](auto &&response) {
+                [this, sharedDone, readResult](auto &&response) {
+                    m_words += response.totalSize().wordCount;
                     (*sharedDone)({readResult(response), {}});
                 },
                 [this, peer, sharedDone](kj::Exception &&error) {
@@ -82,7 +86,8 @@
     }
 
     [[nodiscard]] std::chrono::microseconds processorTime() const { return m_loop.processorTime(); }
-    [[nodiscard]] std::uint64_t bytes() const noexcept { return 0; }
+    [[nodiscard]] std::uint64_t bytes() const noexcept { return m_words * sizeof(capnp::word); }
+    [[nodiscard]] std::uint64_t calls() const noexcept { return m_callCount; }
 
 private:
     class CallErrors : public kj::TaskSet::ErrorHandler
@@ -147,6 +152,8 @@
     }
 
     PeerHandlers m_handlers;
+    std::atomic<std::uint64_t> m_words = 0;
+    std::atomic<std::uint64_t> m_callCount = 0;
     CallErrors m_errors;
     std::optional<kj::TaskSet> m_calls;
     kj::Own<kj::ConnectionReceiver> m_listener;
@@ -272,6 +279,11 @@
     return m_impl->processorTime();
 }
 
+std::uint64_t PeerNode::calls() const noexcept
+{
+    return m_impl->calls();
+}
+
 std::uint64_t PeerNode::bytes() const noexcept
 {
     return m_impl->bytes();
--- a/src/policy/pool.cpp
+++ b/src/policy/pool.cpp
@@ -1,41 +1,24 @@
 #include "chestnutsill/policy/pool.h"
 
+#include "impl/upstreams.h"
+
 #include <algorithm>
 #include <limits>
-#include <set>
 #include <utility>
 
 namespace chestnutsill {
 
 namespace {
 
+using impl::applyOutcome;
+using impl::crashOf;
+using impl::enterCold;
 using Phase = UpstreamState::Phase;
 
-/// Remembered completed fingerprints; the set is emptied when full.
-constexpr std::size_t MaxCleared = 8192;
-/// Share of a new sample in a smoothed value.
-constexpr int SmoothingDivisor = 8;
-/// A first token this many times slower than usual is taken for a sign of cold start.
-constexpr int SlowFirstTokenFactor = 6;
-/// First tokens faster than this are never a sign of cold start.
-constexpr milliseconds SlowFirstTokenMinimum{500};
 constexpr seconds QuarantineRetry{60};
 /// Starts that a tier's floor may fall behind by and still catch up with.
 constexpr double MaxFloorCredit = 2;
 
-Instant smooth(Instant value, Instant sample)
-{
-    if (value == Instant{})
-        return sample;
-    return value + (sample - value) / SmoothingDivisor;
-}
-
-void enterCold(UpstreamState &upstream)
-{
-    upstream.phase = Phase::Cold;
-    upstream.ramp = upstream.spec.coldSlots;
-}
-
 bool hasSuspect(const UpstreamState &upstream)
 {
     return std::any_of(upstream.slots.begin(), upstream.slots.end(),
@@ -162,70 +145,6 @@
                        [&](const auto &upstream) { return upstream.second.slots.contains(ticket); });
 }
 
-/// The crash of one incarnation, with all that ran on it.
-CrashReport crashOf(const UpstreamState &upstream, const std::string &incarnation)
-{
-    CrashReport crash{upstream.spec.name, incarnation, {}};
-    for (const auto &[ticket, slot] : upstream.slots) {
-        if (slot.incarnation == incarnation)
-            crash.fingerprints.push_back(slot.fingerprint);
-    }
-    return crash;
-}
-
-void rampUp(UpstreamState &upstream)
-{
-    if (upstream.phase != Phase::Cold || !upstream.reportedReady)
-        return;
-    upstream.ramp = std::min(upstream.ramp + 1, upstream.spec.slots);
-    if (upstream.ramp == upstream.spec.slots)
-        upstream.phase = Phase::Warm;
-}
-
-void learnFirstToken(UpstreamState &upstream, Instant sample)
-{
-    if (sample == Instant{})
-        return;
-    const Instant usual = upstream.firstToken;
-    const bool slow =
-        usual != Instant{} && sample > usual * SlowFirstTokenFactor && sample > SlowFirstTokenMinimum;
-    if (slow && upstream.phase == Phase::Warm)
-        enterCold(upstream);
-    upstream.firstToken = smooth(usual, sample);
-}
-
-void applyOutcome(PoolState &pool, UpstreamState &upstream, const UpstreamState::Slot &slot,
-                  const Release &ended, Instant now)
-{
-    switch (ended.outcome) {
-    case RunOutcome::Completed:
-        learnFirstToken(upstream, ended.firstToken);
-        if (slot.incarnation == upstream.incarnation)
-            rampUp(upstream);
-        pool.holdTime = smooth(pool.holdTime, now - slot.grantedAt);
-        if (pool.cleared.size() >= MaxCleared)
-            pool.cleared.clear();
-        pool.cleared.insert(slot.fingerprint);
-        break;
-    case RunOutcome::OtherIncarnation:
-        if (ended.incarnationSeen != upstream.incarnation) {
-            upstream.incarnation = ended.incarnationSeen;
-            upstream.reportedReady = false;
-            enterCold(upstream);
-        }
-        break;
-    case RunOutcome::ConnectFailed:
-    case RunOutcome::Broken:
-    case RunOutcome::Silent:
-    case RunOutcome::WrongAnswer:
-        upstream.needsReport = upstream.needsReport || slot.incarnation == upstream.incarnation;
-        break;
-    case RunOutcome::NotStarted:
-    case RunOutcome::Cancelled:
-        break;
-    }
-}
-
 template<typename Predicate>
 void freeSlots(PoolState &pool, Predicate isFreed)
 {
@@ -255,83 +174,6 @@
 
 } // namespace
 
-std::string_view toString(RefusalReason reason) noexcept
-{
-    switch (reason) {
-    case RefusalReason::WouldBeLate:
-        return "would-be-late";
-    case RefusalReason::WaitedTooLong:
-        return "waited-too-long";
-    case RefusalReason::NoUpstream:
-        return "no-upstream";
-    case RefusalReason::HomeNotReady:
-        return "home-not-ready";
-    case RefusalReason::Quarantined:
-        return "quarantined";
-    }
-    return "no-upstream";
-}
-
-const Ticket &ticketOf(const Decision &decision) noexcept
-{
-    if (const auto *grant = std::get_if<Grant>(&decision))
-        return grant->ticket;
-    return std::get_if<Refusal>(&decision)->ticket;
-}
-
-void configure(PoolState &pool, std::span<const UpstreamSpec> specs,
-               const std::array<double, TierCount> &floors)
-{
-    pool.floors = floors;
-    std::set<std::string_view> wasOpen;
-    for (auto &[name, upstream] : pool.upstreams) {
-        if (std::exchange(upstream.spec.open, false))
-            wasOpen.insert(name);
-    }
-    for (const UpstreamSpec &spec : specs) {
-        UpstreamState &upstream = pool.upstreams[spec.name];
-        const bool known = !upstream.spec.name.empty();
-        const bool moved = known && upstream.spec.address != spec.address;
-        const bool returned = known && spec.open && !wasOpen.contains(spec.name);
-        upstream.spec = spec;
-        if (moved || (returned && upstream.phase == Phase::Warm)) {
-            enterCold(upstream);
-            upstream.needsReport = true;
-        }
-        upstream.ramp = std::min(upstream.ramp, spec.slots);
-    }
-    std::erase_if(pool.upstreams, [](const auto &upstream) {
-        return !upstream.second.spec.open && upstream.second.slots.empty();
-    });
-}
-
-int limitOf(const PoolState &pool, const UpstreamState &upstream) noexcept
-{
-    if (!upstream.spec.open || upstream.needsReport || upstream.incarnation.empty())
-        return 0;
-    if (upstream.phase == Phase::Warm)
-        return upstream.spec.slots;
-    if (!pool.mayGrantCold)
-        return 0;
-    return upstream.reportedReady ? upstream.ramp : std::min(upstream.ramp, upstream.spec.coldSlots);
-}
-
-int capacityOf(const PoolState &pool) noexcept
-{
-    int capacity = 0;
-    for (const auto &[name, upstream] : pool.upstreams)
-        capacity += limitOf(pool, upstream);
-    return capacity;
-}
-
-int inUse(const PoolState &pool) noexcept
-{
-    int used = 0;
-    for (const auto &[name, upstream] : pool.upstreams)
-        used += static_cast<int>(upstream.slots.size());
-    return used;
-}
-
 Instant predictedWait(const PoolState &pool, int tier, const std::string &account)
 {
     const int capacity = capacityOf(pool);
@@ -359,6 +201,7 @@
 
 void ask(PoolState &pool, Ask request, Instant now, std::vector<Decision> &decisions)
 {
+    pool.lastContact[request.ticket.holder] = now;
     if (isKnown(pool, request.ticket))
         return;
     const auto refuse = [&](RefusalReason reason, Instant after) {
@@ -428,13 +271,6 @@
     return crash;
 }
 
-void reportMissing(PoolState &pool, std::string_view upstream)
-{
-    const auto found = pool.upstreams.find(std::string(upstream));
-    if (found != pool.upstreams.end())
-        found->second.needsReport = true;
-}
-
 void noteCrash(PoolState &pool, const CrashReport &crash, Instant now, std::vector<Decision> &decisions)
 {
     pool.suspects.recordCrash(crash.upstream, crash.incarnation, crash.fingerprints, now);
--- /dev/null
+++ b/src/policy/upstreams.cpp
@@ -0,0 +1,164 @@
+#include "impl/upstreams.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace chestnutsill {
+
+using Phase = UpstreamState::Phase;
+
+namespace {
+
+/// Remembered completed fingerprints; the set is emptied when full.
+constexpr std::size_t MaxCleared = 8192;
+/// Share of a new sample in a smoothed value.
+constexpr int SmoothingDivisor = 8;
+/// A first token this many times slower than usual is taken for a sign of cold start.
+constexpr int SlowFirstTokenFactor = 6;
+/// First tokens faster than this are never a sign of cold start.
+constexpr milliseconds SlowFirstTokenMinimum{500};
+
+Instant smooth(Instant value, Instant sample)
+{
+    if (value == Instant{})
+        return sample;
+    return value + (sample - value) / SmoothingDivisor;
+}
+
+void rampUp(UpstreamState &upstream)
+{
+    if (upstream.phase != Phase::Cold || !upstream.reportedReady)
+        return;
+    upstream.ramp = std::min(upstream.ramp + 1, upstream.spec.slots);
+    if (upstream.ramp == upstream.spec.slots)
+        upstream.phase = Phase::Warm;
+}
+
+void learnFirstToken(UpstreamState &upstream, Instant sample)
+{
+    if (sample == Instant{})
+        return;
+    const Instant usual = upstream.firstToken;
+    const bool slow =
+        usual != Instant{} && sample > usual * SlowFirstTokenFactor && sample > SlowFirstTokenMinimum;
+    if (slow && upstream.phase == Phase::Warm)
+        impl::enterCold(upstream);
+    upstream.firstToken = smooth(usual, sample);
+}
+
+} // namespace
+
+namespace impl {
+
+void enterCold(UpstreamState &upstream)
+{
+    upstream.phase = Phase::Cold;
+    upstream.ramp = upstream.spec.coldSlots;
+}
+
+void applyOutcome(PoolState &pool, UpstreamState &upstream, const UpstreamState::Slot &slot,
+                  const Release &ended, Instant now)
+{
+    switch (ended.outcome) {
+    case RunOutcome::Completed:
+        learnFirstToken(upstream, ended.firstToken);
+        if (slot.incarnation == upstream.incarnation)
+            rampUp(upstream);
+        pool.holdTime = smooth(pool.holdTime, now - slot.grantedAt);
+        if (pool.cleared.size() >= MaxCleared)
+            pool.cleared.clear();
+        pool.cleared.insert(slot.fingerprint);
+        break;
+    case RunOutcome::OtherIncarnation:
+        if (ended.incarnationSeen != upstream.incarnation) {
+            upstream.incarnation = ended.incarnationSeen;
+            upstream.reportedReady = false;
+            enterCold(upstream);
+        }
+        break;
+    case RunOutcome::ConnectFailed:
+    case RunOutcome::Broken:
+    case RunOutcome::Silent:
+    case RunOutcome::WrongAnswer:
+        upstream.needsReport = upstream.needsReport || slot.incarnation == upstream.incarnation;
+        break;
+    case RunOutcome::NotStarted:
+    case RunOutcome::Cancelled:
+        break;
+    }
+}
+
+CrashReport crashOf(const UpstreamState &upstream, const std::string &incarnation)
+{
+    CrashReport crash{upstream.spec.name, incarnation, {}};
+    for (const auto &[ticket, slot] : upstream.slots) {
+        if (slot.incarnation == incarnation)
+            crash.fingerprints.push_back(slot.fingerprint);
+    }
+    return crash;
+}
+
+} // namespace impl
+
+void configure(PoolState &pool, std::span<const UpstreamSpec> specs,
+               const std::array<double, TierCount> &floors)
+{
+    pool.floors = floors;
+    std::set<std::string_view> wasOpen;
+    for (auto &[name, upstream] : pool.upstreams) {
+        if (std::exchange(upstream.spec.open, false))
+            wasOpen.insert(name);
+    }
+    for (const UpstreamSpec &spec : specs) {
+        UpstreamState &upstream = pool.upstreams[spec.name];
+        const bool known = !upstream.spec.name.empty();
+        const bool moved = known && upstream.spec.address != spec.address;
+        const bool returned = known && spec.open && !wasOpen.contains(spec.name);
+        upstream.spec = spec;
+        if (moved || (returned && upstream.phase == Phase::Warm)) {
+            impl::enterCold(upstream);
+            upstream.needsReport = true;
+        }
+        upstream.ramp = std::min(upstream.ramp, spec.slots);
+    }
+    std::erase_if(pool.upstreams, [](const auto &upstream) {
+        return !upstream.second.spec.open && upstream.second.slots.empty();
+    });
+}
+
+int limitOf(const PoolState &pool, const UpstreamState &upstream) noexcept
+{
+    if (!upstream.spec.open || upstream.needsReport || upstream.incarnation.empty())
+        return 0;
+    if (upstream.phase == Phase::Warm)
+        return upstream.spec.slots;
+    if (!pool.mayGrantCold)
+        return 0;
+    return upstream.reportedReady ? upstream.ramp : std::min(upstream.ramp, upstream.spec.coldSlots);
+}
+
+int capacityOf(const PoolState &pool) noexcept
+{
+    int capacity = 0;
+    for (const auto &[name, upstream] : pool.upstreams)
+        capacity += limitOf(pool, upstream);
+    return capacity;
+}
+
+int inUse(const PoolState &pool) noexcept
+{
+    int used = 0;
+    for (const auto &[name, upstream] : pool.upstreams)
+        used += static_cast<int>(upstream.slots.size());
+    return used;
+}
+
+void reportMissing(PoolState &pool, std::string_view upstream)
+{
+    const auto found = pool.upstreams.find(std::string(upstream));
+    if (found != pool.upstreams.end())
+        found->second.needsReport = true;
+}
+
+} // namespace chestnutsill
--- a/tests/integration/faulttest.cpp
+++ b/tests/integration/faulttest.cpp
@@ -15,18 +15,25 @@
 class Load
 {
 public:
-    Load(Cluster &cluster, int threads, std::string requestClass)
+    /// Load through the instances with these indexes, or through all.
+    Load(Cluster &cluster, int threads, const std::string &requestClass,
+         std::vector<std::size_t> through = {})
     {
+        for (std::size_t i = 0; i < cluster.instances().size(); ++i)
+            m_through.push_back(i);
+        if (!through.empty())
+            m_through = std::move(through);
         for (int i = 0; i < threads; ++i) {
             m_threads.emplace_back([this, &cluster, i, requestClass] {
                 for (int sent = 0; !m_stop; ++sent) {
-                    const auto &instances = cluster.instances();
-                    const Instance &instance =
-                        instances[static_cast<std::size_t>(i + sent) % instances.size()];
+                    const std::size_t index =
+                        m_through[static_cast<std::size_t>(i + sent) % m_through.size()];
+                    const Instance &instance = cluster.instances()[index];
                     const std::string content = requestClass + std::to_string(i) + '-' + std::to_string(sent);
                     const auto result = chat(instance, requestClass, content, R"({"tokens":8})", true,
                                              std::chrono::seconds(10));
                     m_answered += isWhole(result) ? 1 : 0;
+                    m_refused += result.verdict == "not-run" ? 1 : 0;
                     if (result.status != 200)
                         std::this_thread::sleep_for(std::chrono::milliseconds(30));
                 }
@@ -46,6 +53,7 @@
     }
 
     [[nodiscard]] int answered() const { return m_answered; }
+    [[nodiscard]] int refused() const { return m_refused; }
 
     static bool isWhole(const CallerResult &result)
     {
@@ -55,6 +63,8 @@
 private:
     std::atomic<bool> m_stop = false;
     std::atomic<int> m_answered = 0;
+    std::atomic<int> m_refused = 0;
+    std::vector<std::size_t> m_through;
     std::vector<std::thread> m_threads;
 };
 
@@ -229,3 +239,45 @@
     CHECK_FALSE(Load::isWhole(result));
     CHECK(hasExplicitEnd(result));
 }
+
+TEST_CASE("waste: the upstream's run is cancelled when the caller leaves, streamed or whole")
+{
+    Cluster cluster("cancel");
+    describeWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    addEngine(cluster, "engine-1", "za", 8, 4, {"--first-token-ms", "100", "--token-ms", "50"});
+    cluster.start(2);
+    REQUIRE(cluster.waitReady());
+    std::int64_t cancelled = 0;
+    for (const bool stream : {true, false}) {
+        CAPTURE(stream);
+        chatAndLeave(cluster.instances()[0], "chat", R"({"tokens":400})", stream,
+                     std::chrono::milliseconds(700));
+        ++cancelled;
+        CHECK(waitUntil([&] { return cluster.count("engine-1", "cancelled") == cancelled; },
+                        std::chrono::seconds(3)));
+    }
+    CHECK(cluster.count("engine-1", "tokens") < 200);
+}
+
+TEST_CASE(
+    "tiers: a higher tier at one instance goes before a lower tier at all others, which is still served")
+{
+    Cluster cluster("tiers");
+    describeWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    addEngine(cluster, "engine-1", "za", 4, 4, {"--first-token-ms", "100", "--token-ms", "10"});
+    cluster.start(4);
+    REQUIRE(cluster.waitReady());
+    Load history(cluster, 30, "history", {1, 2, 3});
+    REQUIRE(waitUntil([&] { return history.answered() > 4; }));
+    const int historyBefore = history.answered();
+    // Alone, the higher tier would use about half of the engine.
+    Load chats(cluster, 2, "chat", {0});
+    CHECK(waitUntil([&] { return chats.answered() >= 30; }));
+    chats.stop();
+    const int historyDuring = history.answered() - historyBefore;
+    history.stop();
+    CHECK(chats.refused() == 0);
+    CHECK(historyDuring > 0);
+}
--- a/tests/integration/scenario.cpp
+++ b/tests/integration/scenario.cpp
@@ -1,5 +1,9 @@
 #include "scenario.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 namespace chestnutsill::support {
 
 namespace {
@@ -12,6 +16,12 @@
             std::string(response->head.field("chestnutsill-request-id-prefix"))};
 }
 
+std::string chatBody(const std::string &content, const std::string &standin, bool stream)
+{
+    return R"({"model":"m","stream":)" + std::string(stream ? "true" : "false")
+           + R"(,"messages":[{"role":"user","content":")" + content + R"("}],"standin":)" + standin + '}';
+}
+
 } // namespace
 
 void describeWorkload(Cluster &cluster)
@@ -53,13 +63,28 @@
 CallerResult chat(const Instance &instance, const std::string &requestClass, const std::string &content,
                   const std::string &standin, bool stream, std::chrono::milliseconds timeout)
 {
-    const std::string body = R"({"model":"m","stream":)" + std::string(stream ? "true" : "false")
-                             + R"(,"messages":[{"role":"user","content":")" + content + R"("}],"standin":)"
-                             + standin + '}';
+    const std::string body = chatBody(content, standin, stream);
     const std::vector<HttpField> fields{{"chestnutsill-account", "one"},
                                         {"chestnutsill-class", requestClass},
                                         {"content-type", "application/json"}};
     return toResult(call(instance.address, "POST", "/v1/chat/completions", body, fields, timeout));
 }
 
+void chatAndLeave(const Instance &instance, const std::string &requestClass, const std::string &standin,
+                  bool stream, std::chrono::milliseconds after)
+{
+    const std::string body = chatBody("leaves", standin, stream);
+    const std::string request =
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nchestnutsill-account: one\r\n"
+        "chestnutsill-class: "
+        + requestClass + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto colon = instance.address.rfind(':');
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({boost::asio::ip::make_address(instance.address.substr(0, colon)),
+                    static_cast<unsigned short>(std::stoi(instance.address.substr(colon + 1)))});
+    boost::asio::write(socket, boost::asio::buffer(request));
+    std::this_thread::sleep_for(after);
+}
+
 } // namespace chestnutsill::support
--- a/tests/integration/scenario.h
+++ b/tests/integration/scenario.h
@@ -38,4 +38,8 @@
                                 const std::string &content, const std::string &standin, bool stream,
                                 std::chrono::milliseconds timeout = std::chrono::seconds(30));
 
+/// Sends a chat call and closes the connection after a time.
+void chatAndLeave(const Instance &instance, const std::string &requestClass, const std::string &standin,
+                  bool stream, std::chrono::milliseconds after);
+
 } // namespace chestnutsill::support
--- /dev/null
+++ b/tests/policy/forecasttest.cpp
@@ -0,0 +1,50 @@
+#include "chestnutsill/policy/fairqueue.h"
+#include "chestnutsill/policy/forecastpacer.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnutsill;
+
+TEST_CASE("forecast: a class is beyond it once its burst is used, and within it again as time passes")
+{
+    RequestClass item;
+    item.name = "chat";
+    item.monthlyRequests = 30 * 24 * 3600;
+    item.tokensPerRequest = 8;
+    // 8 tokens a second over 4 instances: 2 a second each, and 4 hours of that ahead.
+    ForecastPacer pacer;
+    const Instant start = seconds(10);
+    CHECK_FALSE(pacer.isOver(item, 4, start));
+    pacer.use(item, 4, 4 * 3600 * 2, start);
+    CHECK_FALSE(pacer.isOver(item, 4, start));
+    pacer.use(item, 4, 20, start);
+    CHECK(pacer.isOver(item, 4, start));
+    CHECK(pacer.isOver(item, 4, start + seconds(9)));
+    CHECK_FALSE(pacer.isOver(item, 4, start + seconds(11)));
+}
+
+TEST_CASE("forecast: a class without forecast tokens is never beyond it")
+{
+    RequestClass item;
+    item.name = "booking";
+    ForecastPacer pacer;
+    pacer.use(item, 1, 1e9, seconds(1));
+    CHECK_FALSE(pacer.isOver(item, 1, seconds(1)));
+}
+
+TEST_CASE("forecast: within a tier, work beyond the forecast yields to work within it")
+{
+    FairQueue queue;
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        Ask request;
+        request.ticket = {"holder", 1, number};
+        request.account = "account-" + std::to_string(number);
+        request.overForecast = number <= 2;
+        queue.push(request, seconds(number));
+    }
+    const auto any = [](const Ask &) { return true; };
+    CHECK_FALSE(queue.take(any)->ask.overForecast);
+    CHECK_FALSE(queue.take(any)->ask.overForecast);
+    CHECK(queue.take(any)->ask.overForecast);
+    CHECK(queue.size() == 1);
+}
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -222,6 +222,7 @@
         std::string whole;
         for (std::int64_t token = 0; token < length; ++token) {
             if (generation != m_generation || (!stream && exchange.callerGone())) {
+                m_cancelled += generation == m_generation ? 1 : 0;
                 exchange.abort();
                 m_tokensWasted += token;
                 return false;
