End requests that peers passed on before leaving; one clock, one address check, one ask

The drain counted requests of callers and held slots, but not requests that peers had passed on and that still waited for a slot, so leaving could cut them. The clock, the check of addresses and the fields of an ask stood twice; the linter found a repeated branch and a copy in place of a move.

Change: requests passed on are counted; each of the others stands once.

Ruled out: counting requests passed on as slots held; they hold none while they wait.

--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -1,11 +1,10 @@
 #include "chestnutsill/config/document.h"
 
+#include "chestnutsill/config/address.h"
 #include "impl/reader.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
 
-#include <charconv>
 #include <set>
 
 namespace chestnutsill {
@@ -21,20 +20,6 @@
 /// The highest tier keeps at least half of the starts.
 constexpr double MaxFloor = 0.5;
 
-bool isAddress(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return false;
-    boost::system::error_code error;
-    boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
-    unsigned port = 0;
-    const std::string_view digits = text.substr(colon + 1);
-    const auto [stop, result] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    return !error && result == std::errc() && stop == digits.data() + digits.size() && port > 0
-           && port < 65536;
-}
-
 /// Records a fault for each name that stands twice in a list.
 class UniqueNames
 {
--- a/src/daemon/call.cpp
+++ b/src/daemon/call.cpp
@@ -123,7 +123,7 @@
     }
     if (call.requestClass == nullptr)
         return refuse(call, 400, "unknown-class", ClassField, "name a class, or a model that a class uses");
-    if (const auto refused = readDeadline(call, request))
+    if (auto refused = readDeadline(call, request))
         return refused;
     setBounds(call);
     return std::nullopt;
--- a/src/daemon/capacity.cpp
+++ b/src/daemon/capacity.cpp
@@ -55,7 +55,7 @@
         const auto local =
             std::find_if(own.begin(), own.end(), [&](const PoolSummary &s) { return s.pool == pool; });
         const auto summary = local != own.end() ? *local : m_view.summary(pool, now());
-        const double load = summary ? loadOf(*summary, need.tier) : UnknownLoad;
+        const double load = summary ? loadOf(*summary, need.ask.tier) : UnknownLoad;
         ordered.emplace_back(load * jitter(), pool);
     }
     std::sort(ordered.begin(), ordered.end());
@@ -91,26 +91,19 @@
     const Member *home = list ? homeOf(pool, list->members) : nullptr;
     if (home == nullptr)
         return RefusalReason::HomeNotReady;
-    Ask request;
+    Ask request = need.ask;
     request.ticket = {m_identity.name, m_identity.incarnation, m_nextTicket++};
-    request.tier = need.tier;
-    request.account = need.account;
-    request.fingerprint = need.fingerprint;
-    request.strikes = need.strikes;
-    request.startBy = need.startBy;
-    request.avoid = need.avoid;
-    request.overForecast = need.overForecast;
     const Instant askedAt = now();
     auto mailbox = std::make_shared<Mailbox<Decision>>(fiber.get_executor());
     sendAsk(pool, *home, request, [mailbox](Decision decision) { mailbox->put(std::move(decision)); });
     std::optional<Decision> decision;
-    while (!decision && now() < need.startBy + CallMargin && !isAbandoned())
+    while (!decision && now() < need.ask.startBy + CallMargin && !isAbandoned())
         decision = mailbox->wait(WaitSlice, fiber);
     if (decision && std::holds_alternative<Grant>(*decision)) {
         Grant grant = std::get<Grant>(std::move(*decision));
         const Instant useBy = askedAt + grant.waited + GrantLife;
         const std::lock_guard lock(m_mutex);
-        m_holdings[grant.ticket] = {{grant.ticket, pool, grant.upstream, need.tier, need.fingerprint},
+        m_holdings[grant.ticket] = {{grant.ticket, pool, grant.upstream, need.ask.tier, need.ask.fingerprint},
                                     home->name};
         return HeldGrant{std::move(grant), pool, useBy};
     }
@@ -125,13 +118,13 @@
 Capacity::acquire(const CapacityNeed &need, const std::function<bool()> &isAbandoned, const Fiber &fiber)
 {
     RefusalReason last = RefusalReason::NoUpstream;
-    while (now() < need.startBy && !isAbandoned()) {
+    while (now() < need.ask.startBy && !isAbandoned()) {
         for (const std::string &pool : poolsByLoad(need)) {
             auto result = askPool(pool, need, isAbandoned, fiber);
             if (std::holds_alternative<HeldGrant>(result))
                 return result;
             last = std::get<RefusalReason>(result);
-            if (last == RefusalReason::Quarantined || now() >= need.startBy)
+            if (last == RefusalReason::Quarantined || now() >= need.ask.startBy)
                 return last;
         }
         if (last == RefusalReason::WouldBeLate)
--- a/src/daemon/capacity.h
+++ b/src/daemon/capacity.h
@@ -22,14 +22,8 @@
 struct CapacityNeed
 {
     std::string model;
-    int tier = 0;
-    std::string account;
-    std::uint64_t fingerprint = 0;
-    int strikes = 0;
-    /// Latest useful start.
-    Instant startBy{};
-    std::vector<std::string> avoid;
-    bool overForecast = false;
+    /// What homes are asked for; its ticket is set anew for each ask.
+    Ask ask;
 };
 
 /// A grant held by this instance.
@@ -50,7 +44,7 @@
     /// Connects to peers. Call once, before any other function.
     void setPeers(PeerNode *peers) noexcept { m_peers = peers; }
 
-    /// Waits for a slot on an upstream of the model until `need.startBy`, or until `isAbandoned` returns
+    /// Waits for a slot on an upstream of the model until `need.ask.startBy`, or until `isAbandoned` returns
     /// true. Pools are tried from the least loaded on. Returns the last refusal when there is none.
     [[nodiscard]] std::variant<HeldGrant, RefusalReason>
     acquire(const CapacityNeed &need, const std::function<bool()> &isAbandoned, const Fiber &fiber);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -153,7 +153,7 @@
         log(LogLevel::Info, "leaving", {{"drainMs", m_settings.drain.count()}});
         sleepFor(m_settings.drain, fiber);
         m_closed = true;
-        while (m_server->activeRequests() > 0 || m_capacity.heldCount() > 0)
+        while (m_server->activeRequests() + m_pipeline.forwardedRequests() > 0 || m_capacity.heldCount() > 0)
             sleepFor(DrainPoll, fiber);
         m_server->stopAccepting();
         sleepFor(DrainPoll, fiber);
--- a/src/daemon/identity.h
+++ b/src/daemon/identity.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "chestnutsill/policy/instant.h"
+#include "chestnutsill/clock.h"
 
 #include <cstdint>
 #include <string>
@@ -18,9 +18,6 @@
     std::uint64_t incarnation = 0;
 };
 
-/// The clock of this process: it runs on while the process or its machine is stopped.
-[[nodiscard]] Instant now() noexcept;
-
 /// A random number from the system's source.
 [[nodiscard]] std::uint64_t randomNumber();
 
--- a/src/daemon/pipeline.cpp
+++ b/src/daemon/pipeline.cpp
@@ -126,32 +126,37 @@
 
 void Pipeline::handleForwarded(ForwardedRequest forwarded, std::function<void(Answer)> done)
 {
+    ++m_forwarded;
     startFiber(m_parts.io,
                [this, forwarded = std::move(forwarded), done = std::move(done)](const Fiber &fiber) {
-                   HttpRequest request;
-                   request.method = "POST";
-                   request.target = forwarded.target;
-                   request.body = forwarded.body;
-                   request.fields = {{std::string(AccountField), forwarded.account},
-                                     {std::string(ClassField), forwarded.requestClass},
-                                     {std::string(RequestIdField), forwarded.requestId},
-                                     {"content-type", forwarded.contentType}};
-                   Call call;
-                   call.arrivedAt = now();
-                   if (const auto refused = identify(call, request, m_parts.view, m_parts.closed))
-                       return done(*refused);
-                   if (const auto refused = classify(call, request))
-                       return done(*refused);
-                   std::string reason;
-                   const auto id = parseRequestId(call.requestIdText, reason);
-                   if (!id || id->owner != m_parts.identity.name)
-                       return done(refuse(call, 421, "not-the-owner", RequestIdField,
-                                          "this instance does not own the id"));
-                   const Answer answer = runOwned(call, *id, fiber);
-                   done(answer);
+                   done(runForwarded(forwarded, fiber));
+                   --m_forwarded;
                });
 }
 
+Answer Pipeline::runForwarded(const ForwardedRequest &forwarded, const Fiber &fiber)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = forwarded.target;
+    request.body = forwarded.body;
+    request.fields = {{std::string(AccountField), forwarded.account},
+                      {std::string(ClassField), forwarded.requestClass},
+                      {std::string(RequestIdField), forwarded.requestId},
+                      {"content-type", forwarded.contentType}};
+    Call call;
+    call.arrivedAt = now();
+    if (const auto refused = identify(call, request, m_parts.view, m_parts.closed))
+        return *refused;
+    if (const auto refused = classify(call, request))
+        return *refused;
+    std::string reason;
+    const auto id = parseRequestId(call.requestIdText, reason);
+    if (!id || id->owner != m_parts.identity.name)
+        return refuse(call, 421, "not-the-owner", RequestIdField, "this instance does not own the id");
+    return runOwned(call, *id, fiber);
+}
+
 Answer Pipeline::runWhole(Call &call, const Fiber &fiber)
 {
     Answer collected;
@@ -206,23 +211,21 @@
 
 Answer Pipeline::run(Call &call, const UpstreamSink &sink, Attempt &last, const Fiber &fiber)
 {
-    CapacityNeed need{call.requestClass->model,
-                      call.requestClass->tier,
-                      call.account,
-                      call.fingerprint,
-                      0,
-                      call.startBy,
-                      {},
-                      false};
+    CapacityNeed need;
+    need.model = call.requestClass->model;
+    need.ask.tier = call.requestClass->tier;
+    need.ask.account = call.account;
+    need.ask.fingerprint = call.fingerprint;
+    need.ask.startBy = call.startBy;
     {
         const std::lock_guard lock(m_budgetMutex);
         m_budget.earn();
-        need.overForecast = m_pacer.isOver(*call.requestClass, memberCount(), call.arrivedAt);
+        need.ask.overForecast = m_pacer.isOver(*call.requestClass, memberCount(), call.arrivedAt);
     }
     int crashes = 0;
     bool mayHaveRun = false;
     for (int tries = 0; tries < MaxAttempts; ++tries) {
-        need.strikes = std::max(m_parts.suspects.strikes(call.fingerprint), crashes);
+        need.ask.strikes = std::max(m_parts.suspects.strikes(call.fingerprint), crashes);
         const auto capacity = m_parts.capacity.acquire(need, call.isAbandoned, fiber);
         if (const auto *reason = std::get_if<RefusalReason>(&capacity)) {
             if (mayHaveRun)
@@ -241,7 +244,7 @@
         mayHaveRun = mayHaveRun || last.verdict == Verdict::MayHaveRun;
         crashes += last.outcome == RunOutcome::Broken ? 1 : 0;
         if (last.verdict == Verdict::MayHaveRun)
-            need.avoid.push_back(held.grant.upstream);
+            need.ask.avoid.push_back(held.grant.upstream);
         if (!mayRetry(call, last))
             break;
         sleepFor(pauseBeforeRetry(last.outcome), fiber);
--- a/src/daemon/pipeline.h
+++ b/src/daemon/pipeline.h
@@ -50,11 +50,15 @@
     /// Serves a request that a peer passed on because its id names this instance.
     void handleForwarded(ForwardedRequest request, std::function<void(Answer)> done);
 
+    /// Number of requests in progress that peers passed on.
+    [[nodiscard]] int forwardedRequests() const noexcept { return m_forwarded; }
+
 private:
     [[nodiscard]] Answer own(Call &call, const Fiber &fiber);
     [[nodiscard]] Answer runOwned(Call &call, const RequestId &id, const Fiber &fiber);
     [[nodiscard]] Answer passToOwner(const Call &call, const RequestId &id, const Fiber &fiber);
     [[nodiscard]] Answer needRequestId() const;
+    [[nodiscard]] Answer runForwarded(const ForwardedRequest &forwarded, const Fiber &fiber);
 
     [[nodiscard]] Answer runWhole(Call &call, const Fiber &fiber);
     void runStreamed(Call &call, Exchange &exchange, const Fiber &fiber);
@@ -70,6 +74,7 @@
 
     PipelineParts m_parts;
     std::atomic<std::uint64_t> m_nextAttempt = 1;
+    std::atomic<int> m_forwarded = 0;
     std::mutex m_budgetMutex;
     RetryBudget m_budget;
     ForecastPacer m_pacer;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,6 +1,7 @@
 #include "daemon/settings.h"
 
-#include <boost/asio/ip/address.hpp>
+#include "chestnutsill/config/address.h"
+
 #include <boost/program_options.hpp>
 
 #include <algorithm>
@@ -92,19 +93,6 @@
     }
 
 private:
-    static bool isAddress(const std::string &value)
-    {
-        const auto colon = value.rfind(':');
-        if (colon == std::string::npos)
-            return false;
-        boost::system::error_code error;
-        boost::asio::ip::make_address(value.substr(0, colon), error);
-        int port = 0;
-        const char *end = value.data() + value.size();
-        const auto [stop, result] = std::from_chars(value.data() + colon + 1, end, port);
-        return !error && result == std::errc() && stop == end && port > 0 && port < 65536;
-    }
-
     std::map<std::string, std::string> m_values;
     std::vector<std::string> &m_faults;
 };
--- a/src/peer/impl/peerserver.h
+++ b/src/peer/impl/peerserver.h
@@ -7,9 +7,6 @@
 
 namespace chestnutsill::impl {
 
-/// The monotonic clock that keeps running while the process is stopped.
-[[nodiscard]] Instant monotonicNow() noexcept;
-
 /// Runs a task on the peer thread. Callable from any thread.
 using PostTask = std::function<void(std::function<void()>)>;
 
--- a/src/peer/peernode.cpp
+++ b/src/peer/peernode.cpp
@@ -1,5 +1,6 @@
 #include "chestnutsill/peer/peernode.h"
 
+#include "chestnutsill/clock.h"
 #include "impl/convert.h"
 #include "impl/kjloop.h"
 #include "impl/peerserver.h"
@@ -196,13 +197,13 @@
 void PeerNode::ask(const std::string &peer, std::string pool, Ask request, std::chrono::milliseconds timeout,
                    Done<Decision> done)
 {
-    const Instant now = impl::monotonicNow();
+    const Instant askedAt = now();
     m_impl->call(
         peer, timeout, std::move(done),
-        [pool = std::move(pool), ask = std::move(request), now](wire::Peer::Client &client) {
+        [pool = std::move(pool), ask = std::move(request), askedAt](wire::Peer::Client &client) {
             auto request = client.askRequest();
             request.setPool(pool.c_str());
-            impl::write(request.initRequest(), ask, now);
+            impl::write(request.initRequest(), ask, askedAt);
             return request;
         },
         [](auto &response) { return impl::read(response.getDecision()); });
--- a/src/peer/peerserver.cpp
+++ b/src/peer/peerserver.cpp
@@ -1,8 +1,8 @@
 #include "impl/peerserver.h"
 
+#include "chestnutsill/clock.h"
 #include "impl/convert.h"
 
-#include <ctime>
 #include <memory>
 
 namespace chestnutsill::impl {
@@ -39,13 +39,6 @@
 
 } // namespace
 
-Instant monotonicNow() noexcept
-{
-    timespec time{};
-    ::clock_gettime(CLOCK_BOOTTIME, &time);
-    return seconds(time.tv_sec) + microseconds(time.tv_nsec / 1000);
-}
-
 PeerServer::PeerServer(const PeerHandlers &handlers, PostTask post)
     : m_handlers(handlers)
     , m_post(std::move(post))
@@ -70,7 +63,7 @@
 {
     auto params = context.getParams();
     auto later = makeLater<Decision>(m_post);
-    m_handlers.ask(toString(params.getPool()), read(params.getRequest(), monotonicNow()), later.done);
+    m_handlers.ask(toString(params.getPool()), read(params.getRequest(), now()), later.done);
     return later.promise.then([context](const Decision &decision) mutable {
         write(context.getResults().initDecision(), decision);
     });
--- a/src/policy/pool.cpp
+++ b/src/policy/pool.cpp
@@ -256,12 +256,11 @@
     const bool restarted = !upstream.incarnation.empty() && upstream.incarnation != report.incarnation;
     if (restarted && !upstream.slots.empty())
         crash = crashOf(upstream, upstream.incarnation);
-    if (restarted || !report.ready)
+    const bool isNew = upstream.phase == Phase::Unknown;
+    if (restarted || !report.ready || (isNew && !report.knownWarm))
         enterCold(upstream);
-    else if (upstream.phase == Phase::Unknown && report.knownWarm)
+    else if (isNew)
         upstream.phase = Phase::Warm;
-    else if (upstream.phase == Phase::Unknown)
-        enterCold(upstream);
     upstream.incarnation = report.incarnation;
     upstream.reportedReady = report.ready;
     upstream.needsReport = false;
--- a/src/tool/documentcommands.cpp
+++ b/src/tool/documentcommands.cpp
@@ -57,6 +57,14 @@
     return base;
 }
 
+/// The configuration in the one file that the command line names.
+std::optional<Configuration> readNamedDocument(const Words &words, Faults &faults)
+{
+    if (words.positional.size() != 2)
+        throw UsageError("name one configuration file");
+    return parseConfiguration(readFile(words.positional[1]), faults);
+}
+
 std::uint64_t tokensSoFar(const std::vector<std::string> &pages, const std::string &requestClass)
 {
     std::uint64_t tokens = 0;
@@ -100,10 +108,8 @@
 
 int runCheck(const Words &words)
 {
-    if (words.positional.size() != 2)
-        throw UsageError("name one configuration file");
     Faults faults;
-    const auto configuration = parseConfiguration(readFile(words.positional[1]), faults);
+    const auto configuration = readNamedDocument(words, faults);
     if (!configuration)
         return printFaults(faults);
     std::cout << "version " << configuration->version << " of " << configuration->deployment << " is valid\n";
@@ -112,10 +118,8 @@
 
 int runForecast(const Words &words)
 {
-    if (words.positional.size() != 2)
-        throw UsageError("name one configuration file");
     Faults faults;
-    const auto configuration = parseConfiguration(readFile(words.positional[1]), faults);
+    const auto configuration = readNamedDocument(words, faults);
     if (!configuration)
         return printFaults(faults);
     std::vector<std::string> pages;
