--- a/include/chestnutsill/chestnutsill.h
+++ b/include/chestnutsill/chestnutsill.h
@@ -3,6 +3,7 @@
 /// Everything that an embedding program needs to make the same decisions as the daemon, without I/O, threads
 /// or a clock.
 
+#include "chestnutsill/fwd.h"
 #include "chestnutsill/policy/answer.h"
 #include "chestnutsill/policy/configuration.h"
 #include "chestnutsill/policy/fairqueue.h"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,10 +1,12 @@
 #!/usr/bin/env bash
 # Installs, builds, and serves a streamed request and a booking through three daemons on loopback, once for each
-# example deployment.
+# example deployment. DEMO_VICTIM (1, 2 or 3; default 3) is the instance that is killed between the two.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh
 bin=build
+victim=${DEMO_VICTIM:-3}
+other=$((victim % 3 + 1))
 work=$(mktemp -d)
 started=()
 
@@ -54,12 +56,13 @@
     echo "=== $name: a streamed request of class $chat_class"
     $bin/chestnutsill send 127.0.0.1:7101 --account "$account" \
         --body '{"model":"assistant","stream":true,"messages":[{"role":"user","content":"hello"}],"standin":{"tokens":5}}'
-    echo "=== $name: instance entry-3 is killed"
-    kill -KILL "${started[7]}"
+    echo "=== $name: instance entry-$victim is killed"
+    kill -KILL "${started[$((victim + 4))]}"
+    wait "${started[$((victim + 4))]}" 2>/dev/null || true
     echo "=== $name: a booking"
     local tries
     for tries in 1 2 3 4 5 6 7 8 9 10; do
-        $bin/chestnutsill send 127.0.0.1:7102 --account "$account" --class booking --target "/services/$service/bookings" \
+        $bin/chestnutsill send "127.0.0.1:710$other" --account "$account" --class booking --target "/services/$service/bookings" \
             --body '{"seat":"12A"}' && break
         sleep 1
     done
--- a/tests/integration/oncetest.cpp
+++ b/tests/integration/oncetest.cpp
@@ -171,3 +171,32 @@
         CHECK(response->body.find('"' + item.field + '"') != std::string::npos);
     }
 }
+
+TEST_CASE("caller: a request that is slow, too large in its head or no HTTP gets a status and \"not run\"")
+{
+    Cluster cluster("caller-slow");
+    describeWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    addEngine(cluster, "engine-1", "za", 4, 2);
+    cluster.start(1, {"--read-timeout-ms=300"});
+    REQUIRE(cluster.waitReady());
+    struct Case
+    {
+        std::string text;
+        std::string status;
+        std::string reason;
+    };
+    const Case cases[] = {
+        {"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n", "408", "request-too-slow"},
+        {"POST /x HTTP/1.1\r\nContent-Length: 10\r\n\r\nab", "408", "request-too-slow"},
+        {"POST /x HTTP/1.1\r\nX: " + std::string(40000, 'x') + "\r\n\r\n", "431", "head-too-large"},
+        {"hello\r\n\r\n", "400", "malformed-request"},
+    };
+    for (const Case &item : cases) {
+        CAPTURE(item.reason);
+        const std::string reply = sendRaw(cluster.instances()[0], item.text);
+        CHECK(reply.find("HTTP/1.1 " + item.status) == 0);
+        CHECK(reply.find(item.reason) != std::string::npos);
+        CHECK(reply.find("chestnutsill-verdict: not-run") != std::string::npos);
+    }
+}
--- a/tests/integration/scenario.cpp
+++ b/tests/integration/scenario.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 namespace chestnutsill::support {
@@ -22,6 +23,15 @@
            + R"(,"messages":[{"role":"user","content":")" + content + R"("}],"standin":)" + standin + '}';
 }
 
+boost::asio::ip::tcp::socket connectTo(boost::asio::io_context &io, const Instance &instance)
+{
+    const auto colon = instance.address.rfind(':');
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({boost::asio::ip::make_address(instance.address.substr(0, colon)),
+                    static_cast<unsigned short>(std::stoi(instance.address.substr(colon + 1)))});
+    return socket;
+}
+
 } // namespace
 
 void describeWorkload(Cluster &cluster)
@@ -78,13 +88,21 @@
         "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nchestnutsill-account: one\r\n"
         "chestnutsill-class: "
         + requestClass + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    const auto colon = instance.address.rfind(':');
     boost::asio::io_context io;
-    boost::asio::ip::tcp::socket socket(io);
-    socket.connect({boost::asio::ip::make_address(instance.address.substr(0, colon)),
-                    static_cast<unsigned short>(std::stoi(instance.address.substr(colon + 1)))});
+    auto socket = connectTo(io, instance);
     boost::asio::write(socket, boost::asio::buffer(request));
     std::this_thread::sleep_for(after);
 }
 
+std::string sendRaw(const Instance &instance, const std::string &text)
+{
+    boost::asio::io_context io;
+    auto socket = connectTo(io, instance);
+    boost::asio::write(socket, boost::asio::buffer(text));
+    std::string reply;
+    boost::system::error_code end;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(reply), end);
+    return reply;
+}
+
 } // namespace chestnutsill::support
--- a/tests/integration/scenario.h
+++ b/tests/integration/scenario.h
@@ -42,4 +42,7 @@
 void chatAndLeave(const Instance &instance, const std::string &requestClass, const std::string &standin,
                   bool stream, std::chrono::milliseconds after);
 
+/// Sends bytes as they are and returns all that comes back until the connection is closed.
+[[nodiscard]] std::string sendRaw(const Instance &instance, const std::string &text);
+
 } // namespace chestnutsill::support
