Pass over homes whose address refuses connections, although the list names them

Cause: the demo with its second instance killed refused bookings without end (16 refusals until it was ended). The list still named the instance, which was the home of both desk pools, and homes went by the list alone: a lost instance and a stale list together took a pool out of service.

Ruled out: passing over members that are silent. Silence may be a partition, and the silent home may still grant.

Change: members whose address refuses connections are no candidates for homes. A restarted process still waits 3 s before it grants, by when the others have heard its heartbeat.

--- a/src/daemon/capacity.cpp
+++ b/src/daemon/capacity.cpp
@@ -87,8 +87,8 @@
                                                          const std::function<bool()> &isAbandoned,
                                                          const Fiber &fiber)
 {
-    const auto list = m_view.list();
-    const Member *home = list ? homeOf(pool, list->members) : nullptr;
+    const auto candidates = m_view.homeCandidates();
+    const Member *home = homeOf(pool, candidates);
     if (home == nullptr)
         return RefusalReason::HomeNotReady;
     Ask request = need.ask;
@@ -145,8 +145,8 @@
 
 void Capacity::sendRelease(const std::string &pool, const Release &ended, int triesLeft)
 {
-    const auto list = m_view.list();
-    const Member *home = list ? homeOf(pool, list->members) : nullptr;
+    const auto candidates = m_view.homeCandidates();
+    const Member *home = homeOf(pool, candidates);
     if (home == nullptr || triesLeft == 0)
         return;
     if (home->name == m_identity.name) {
@@ -167,14 +167,12 @@
 
 void Capacity::followHomes()
 {
-    const auto list = m_view.list();
-    if (!list)
-        return;
+    const auto candidates = m_view.homeCandidates();
     std::vector<std::pair<Member, HeldSlot>> news;
     {
         const std::lock_guard lock(m_mutex);
         for (auto &[ticket, holding] : m_holdings) {
-            const Member *home = homeOf(holding.slot.pool, list->members);
+            const Member *home = homeOf(holding.slot.pool, candidates);
             if (home == nullptr || home->name == holding.home)
                 continue;
             holding.home = home->name;
--- a/src/daemon/clusterview.cpp
+++ b/src/daemon/clusterview.cpp
@@ -4,6 +4,7 @@
 #include "chestnutsill/policy/hash.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace chestnutsill {
 
@@ -113,6 +114,20 @@
     return m_list;
 }
 
+std::vector<Member> ClusterView::homeCandidates() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<Member> candidates;
+    if (!m_list)
+        return candidates;
+    std::copy_if(m_list->members.begin(), m_list->members.end(), std::back_inserter(candidates),
+                 [&](const Member &member) {
+                     const auto peer = m_peers.find(member.name);
+                     return peer == m_peers.end() || !peer->second.refused;
+                 });
+    return candidates;
+}
+
 std::uint64_t ClusterView::listDigest() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/daemon/clusterview.h
+++ b/src/daemon/clusterview.h
@@ -64,6 +64,10 @@
     /// The instance list, or null before the first.
     [[nodiscard]] std::shared_ptr<const InstanceList> list() const;
 
+    /// Listed members that may be homes. One whose address refuses connections is passed over: its process is
+    /// gone, although the list may name it for long.
+    [[nodiscard]] std::vector<Member> homeCandidates() const;
+
     /// Hash of the members in the list.
     [[nodiscard]] std::uint64_t listDigest() const;
 
--- a/src/daemon/homes.cpp
+++ b/src/daemon/homes.cpp
@@ -239,7 +239,8 @@
 
 void Homes::tickPool(Pool &pool, const Configuration &configuration, const InstanceList &list)
 {
-    const Member *home = homeOf(pool.name, list.members);
+    const auto candidates = m_view.homeCandidates();
+    const Member *home = homeOf(pool.name, candidates);
     const bool isHome = home != nullptr && home->name == m_identity.name;
     const bool current = m_view.state(now()) == ViewState::Current;
     bool wasHome = false;
--- a/tests/integration/faulttest.cpp
+++ b/tests/integration/faulttest.cpp
@@ -281,3 +281,27 @@
     CHECK(chats.refused() == 0);
     CHECK(historyDuring > 0);
 }
+
+TEST_CASE("homes: pools whose home is gone are served again although the instance list still names it")
+{
+    Cluster cluster("home-gone");
+    describeWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    addEngine(cluster, "engine-1", "za", 4, 4);
+    cluster.start(3);
+    REQUIRE(cluster.waitReady());
+    const std::string home = cluster.homeOf("desk/za");
+    std::size_t other = 0;
+    for (std::size_t i = 0; i < cluster.instances().size(); ++i) {
+        if (cluster.instances()[i].name == home)
+            cluster.instances()[i].process->kill();
+        else
+            other = i;
+    }
+    const Instance &instance = cluster.instances()[other];
+    int tries = 0;
+    CHECK(waitUntil([&] {
+        return book(instance, freshId(instance, "nonce-home-" + std::to_string(++tries))).verdict
+               == "answered";
+    }));
+}
