Remove a function of the ledger that nothing calls

Cause: refusals are recorded by claim and finish; seal was left from a first design and had neither caller nor test.

Change: removed. Behaviour is the same. The tree builds, the 33 contract cases and the ledger's properties pass.

--- a/include/chestnutsill/policy/ledger.h
+++ b/include/chestnutsill/policy/ledger.h
@@ -40,10 +40,6 @@
     /// Records the outcome of a running request. Has no effect when the outcome is known already.
     void finish(std::string_view id, Answer answer);
 
-    /// Records a refusal for an id that never ran, so that it never will. Returns false, and records nothing,
-    /// when the id runs, has an outcome, has expired, or the ledger is full.
-    [[nodiscard]] bool seal(std::string_view id, Instant expiry, Instant now, const Answer &answer);
-
     /// The outcome of an id, or null while it runs or when it is unknown. Valid until the next call that
     /// changes the ledger.
     [[nodiscard]] const Answer *outcome(std::string_view id) const;
--- a/src/policy/ledger.cpp
+++ b/src/policy/ledger.cpp
@@ -39,14 +39,6 @@
     found->second.answer = std::move(answer);
 }
 
-bool Ledger::seal(std::string_view id, Instant expiry, Instant now, const Answer &answer)
-{
-    if (claim(id, expiry, now) != Claim::Run)
-        return false;
-    finish(id, answer);
-    return true;
-}
-
 const Answer *Ledger::outcome(std::string_view id) const
 {
     const auto found = m_entries.find(std::string(id));
