--- a/src/config/impl/reader.h
+++ b/include/chestnutsill/config/reader.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-namespace chestnutsill::impl {
+namespace chestnutsill {
 
 /// Reads typed fields from one JSON object and collects a fault for each that is missing, of the wrong type,
 /// out of range or unknown. A field that can't be read yields a neutral value, so that reading goes on.
@@ -40,6 +40,15 @@
     void list(std::string_view field, std::size_t minSize,
               const std::function<void(const boost::json::value &, const std::string &)> &each);
 
+    /// Whether the object has a field, whatever its type.
+    [[nodiscard]] bool has(std::string_view field) const;
+
+    /// A reader for the object in a field.
+    [[nodiscard]] Reader object(std::string_view field);
+
+    /// Calls `each` with the name and value of each member of the object.
+    void members(const std::function<void(std::string_view, const boost::json::value &)> &each) const;
+
     /// Path of a field, for faults found by the caller.
     [[nodiscard]] std::string pathOf(std::string_view field) const;
 
@@ -61,4 +70,4 @@
 /// Parses a JSON text. Records a fault and returns null when it is malformed.
 [[nodiscard]] boost::json::value parseJson(std::string_view text, Faults &faults);
 
-} // namespace chestnutsill::impl
+} // namespace chestnutsill
--- a/include/chestnutsill/net/exchange.h
+++ b/include/chestnutsill/net/exchange.h
@@ -3,6 +3,9 @@
 #include "chestnutsill/net/fiber.h"
 #include "chestnutsill/net/http.h"
 
+#include <cstdint>
+#include <functional>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -26,10 +29,15 @@
     virtual bool startStream(int status, std::string_view contentType, std::span<const HttpField> fields,
                              const Fiber &fiber) = 0;
 
-    /// Sends a piece of a streamed response.
+    /// Sends the head of a relayed response with exactly these fields. The pieces that follow add up to
+    /// `length` bytes; without a length they are sent in chunks.
+    virtual bool startRelay(int status, std::span<const HttpField> fields,
+                            std::optional<std::uint64_t> length, const Fiber &fiber) = 0;
+
+    /// Sends a piece of a streamed or relayed response.
     virtual bool sendPiece(std::string_view piece, const Fiber &fiber) = 0;
 
-    /// Ends a streamed response as whole.
+    /// Ends a streamed or relayed response as whole.
     virtual bool endStream(const Fiber &fiber) = 0;
 
     /// Closes the connection without ending the response.
@@ -37,6 +45,12 @@
 
     /// Whether the caller has closed its connection.
     [[nodiscard]] virtual bool callerGone() = 0;
+
+    /// Calls `onGone` once if the caller closes its connection before the exchange ends.
+    virtual void watchCaller(std::function<void()> onGone) = 0;
+
+    /// Announces in the response that the connection closes after it.
+    virtual void closeAfterResponse() = 0;
 };
 
 } // namespace chestnutsill
--- a/include/chestnutsill/net/http.h
+++ b/include/chestnutsill/net/http.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -45,6 +46,10 @@
 {
     int status = 0;
     std::vector<HttpField> fields;
+    /// Length of the body, if the response states it.
+    std::optional<std::uint64_t> length;
+    /// Whether the connection can be used again after the body.
+    bool keepAlive = false;
 
     /// Value of a header field, or an empty text.
     [[nodiscard]] std::string_view field(std::string_view name) const noexcept;
--- a/include/chestnutsill/net/httpclient.h
+++ b/include/chestnutsill/net/httpclient.h
@@ -39,7 +39,18 @@
     /// Sends a request. When it returns false the server may have received it.
     [[nodiscard]] bool send(const HttpCall &call, std::chrono::milliseconds timeout, const Fiber &fiber);
 
-    /// Reads the head of the response.
+    /// Starts sending a request and returns at once, so that the response can be read meanwhile. Some servers
+    /// answer before they have read the body. The body must outlive the exchange.
+    void startSend(const HttpCall &call, std::chrono::milliseconds timeout);
+
+    /// Whether the request of `startSend` has been handed to the network as a whole.
+    [[nodiscard]] bool sendFinished() const noexcept;
+
+    /// Whether nothing has arrived since the last response and the connection is open, as far as is known
+    /// here.
+    [[nodiscard]] bool isIdle();
+
+    /// Reads the head of the response. Interim responses (1xx) are skipped.
     [[nodiscard]] std::optional<HttpHead> readHead(std::chrono::milliseconds timeout, const Fiber &fiber);
 
     /// Reads a piece of the body of at most 16 KiB; an empty piece ends it. Fails when the body is cut short
@@ -61,7 +72,7 @@
 
 private:
     struct Impl;
-    std::unique_ptr<Impl> m_impl;
+    std::shared_ptr<Impl> m_impl;
 };
 
 /// Makes one call on a connection of its own. Returns nothing on failure and sets `reason`.
--- a/include/chestnutsill/net/httpserver.h
+++ b/include/chestnutsill/net/httpserver.h
@@ -15,6 +15,10 @@
 struct HttpLimits
 {
     std::size_t maxBody = 1 << 20;
+    /// Most bytes of the request line and the header fields together.
+    std::size_t maxHead = 16'384;
+    /// Time to send the request line and the header fields after the first byte.
+    std::chrono::milliseconds headTimeout{10000};
     /// Time to send a whole request after its first byte.
     std::chrono::milliseconds readTimeout{10000};
     /// Time that a connection may rest between requests.
@@ -28,9 +32,14 @@
 {
 public:
     using Handler = std::function<void(Exchange &, const Fiber &)>;
+    /// Gives the limits for the next request of a connection.
+    using LimitsSource = std::function<HttpLimits()>;
 
     /// Listens on `address` (IP address and port). Throws `std::runtime_error` when it can't.
     HttpServer(boost::asio::io_context &io, const std::string &address, HttpLimits limits, Handler handler);
+
+    /// The same with limits that may change while the server runs.
+    HttpServer(boost::asio::io_context &io, const std::string &address, LimitsSource limits, Handler handler);
     ~HttpServer();
 
     HttpServer(const HttpServer &) = delete;
--- /dev/null
+++ b/include/chestnutsill/peer/fleetbeat.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "chestnutsill/policy/fleet.h"
+#include "chestnutsill/policy/upstreamload.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace chestnutsill {
+
+/// Proof that a heartbeat was sent after one of the receiver's own. A datagram may lie unread while its
+/// receiver is stopped, so its arrival says nothing about its age.
+struct BeatEcho
+{
+    /// Incarnation of the instance whose heartbeat is echoed.
+    std::uint64_t incarnation = 0;
+    /// Its clock when it sent that heartbeat.
+    Instant sentAt{};
+    /// Time from its arrival to the heartbeat that carries this echo.
+    Instant held{};
+};
+
+/// What one instance tells others at short intervals in one datagram.
+struct FleetBeat
+{
+    InstanceNews self;
+    std::vector<InstanceNews> others;
+    /// Version of the routing table in force; 0 before the first.
+    std::uint64_t tableVersion = 0;
+    /// Age of the confirmation that it is the newest; nothing when there is none.
+    std::optional<milliseconds> confirmedAge;
+    std::vector<LoadShare> loads;
+    /// The sender's clock.
+    Instant sentAt{};
+    std::vector<BeatEcho> echoes;
+};
+
+/// The bytes of a heartbeat.
+[[nodiscard]] std::string encodeBeat(const FleetBeat &beat);
+
+/// Reads a heartbeat. Returns nothing when the bytes are not one.
+[[nodiscard]] std::optional<FleetBeat> decodeBeat(std::span<const char> bytes);
+
+} // namespace chestnutsill
--- /dev/null
+++ b/include/chestnutsill/policy/placing.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "chestnutsill/policy/prompt.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace chestnutsill {
+
+/// An upstream that may take a request, with what is known of it.
+struct PlacingCandidate
+{
+    std::string_view upstream;
+    /// Requests that it works on at a time, and those it has in progress.
+    int slots = 0;
+    int running = 0;
+    /// Prompt tokens that it has still to read.
+    double unreadTokens = 0;
+    /// Tokens of the prompt that it holds, as far as is known.
+    double cachedTokens = 0;
+    /// Share of recent attempts that failed, 0 to 1.
+    double failureShare = 0;
+    /// Whether it is in the availability zone of this instance.
+    bool sameZone = false;
+};
+
+/// What upstreams of a service take for their work.
+struct PlacingSpeed
+{
+    /// Prompt tokens read in a millisecond by an engine.
+    double promptTokensPerMs = 50;
+    /// Time that one more running request adds to the first token of the next, in milliseconds.
+    double runningMs = 0.5;
+    /// Time that a request waits for each one before it when all slots are taken, in milliseconds.
+    double waitMs = 30;
+};
+
+/// Which upstream takes a request, and when its answer is expected to begin.
+struct Placement
+{
+    std::size_t candidate = 0;
+    double firstTokenMs = 0;
+    /// Tokens of the prompt that it will have to read.
+    double unreadTokens = 0;
+};
+
+/// Chooses the upstream at which the first token is expected soonest. Reading shared parts again at an
+/// upstream that doesn't hold them counts more than its time, because it also delays all others there; so
+/// each shared part stays at the upstream that ranks first for it by rendezvous hash until that one is
+/// loaded. Returns nothing without candidates.
+[[nodiscard]] std::optional<Placement> place(std::span<const PlacingCandidate> candidates,
+                                             const Prompt &prompt, const PlacingSpeed &speed,
+                                             std::uint64_t seed);
+
+} // namespace chestnutsill
--- /dev/null
+++ b/include/chestnutsill/policy/upstreamload.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "chestnutsill/policy/instant.h"
+#include "chestnutsill/policy/prompt.h"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace chestnutsill {
+
+/// Work in progress at one upstream.
+struct Load
+{
+    int running = 0;
+    /// Prompt tokens that are sent and not yet read.
+    double unreadTokens = 0;
+};
+
+/// Load of one upstream as an instance tells its peers.
+struct LoadShare
+{
+    std::uint64_t upstream = 0;
+    Load load;
+};
+
+/// The work of all instances by upstream: this instance's exactly, that of its peers as last heard. Upstreams
+/// are told to peers by a hash of their id. Not thread-safe.
+class LoadBook
+{
+public:
+    /// What a peer said is forgotten after this time.
+    static constexpr milliseconds PeerMemory{1000};
+
+    /// Records that a request is sent with so many prompt tokens to read.
+    void begin(std::string_view upstream, double tokens);
+    /// Records that its prompt has been read.
+    void read(std::string_view upstream, double tokens);
+    /// Records that it has ended.
+    void end(std::string_view upstream);
+
+    /// Takes what a peer has in progress.
+    void hear(std::string_view peer, const std::vector<LoadShare> &shares, Instant now);
+
+    /// Work of all instances at an upstream.
+    [[nodiscard]] Load total(std::string_view upstream, Instant now) const;
+
+    /// Work of this instance, for its peers.
+    [[nodiscard]] std::vector<LoadShare> own() const;
+
+private:
+    struct PeerLoad
+    {
+        std::unordered_map<std::uint64_t, Load> loads;
+        Instant heardAt{};
+    };
+
+    std::map<std::string, Load, std::less<>> m_own;
+    std::map<std::string, PeerLoad, std::less<>> m_peers;
+};
+
+/// Which prompt parts an upstream is likely to hold, from the work sent there, least recently used first out.
+/// Not thread-safe.
+class PartCache
+{
+public:
+    /// Tokens at the start of a prompt that the upstream needn't read again.
+    [[nodiscard]] double cachedTokens(std::string_view upstream, const Prompt &prompt) const;
+
+    /// Records that an upstream has read a prompt; `capacity` is its memory in tokens.
+    void store(std::string_view upstream, const Prompt &prompt, std::uint64_t capacity);
+
+    /// Forgets an upstream, which has lost its memory.
+    void forget(std::string_view upstream);
+
+private:
+    struct Holding
+    {
+        /// Parts from the least to the most recently used.
+        std::list<PromptPart> order;
+        std::unordered_map<std::uint64_t, std::list<PromptPart>::iterator> byId;
+        std::uint64_t tokens = 0;
+    };
+
+    std::map<std::string, Holding, std::less<>> m_holdings;
+};
+
+} // namespace chestnutsill
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -1,7 +1,7 @@
 #include "chestnutsill/config/document.h"
 
 #include "chestnutsill/config/address.h"
-#include "impl/reader.h"
+#include "chestnutsill/config/reader.h"
 
 #include <boost/json.hpp>
 
@@ -12,7 +12,6 @@
 namespace {
 
 namespace json = boost::json;
-using impl::Reader;
 
 constexpr std::int64_t MaxSlots = 10'000;
 constexpr std::int64_t MaxLatencyMs = 600'000;
@@ -194,7 +193,7 @@
 std::optional<Configuration> parseConfiguration(std::string_view text, Faults &faults)
 {
     const std::size_t before = faults.size();
-    const json::value value = impl::parseJson(text, faults);
+    const json::value value = parseJson(text, faults);
     if (faults.size() > before)
         return std::nullopt;
     Configuration configuration;
--- a/src/config/instancelist.cpp
+++ b/src/config/instancelist.cpp
@@ -1,6 +1,6 @@
 #include "chestnutsill/config/instancelist.h"
 
-#include "impl/reader.h"
+#include "chestnutsill/config/reader.h"
 
 #include <boost/json.hpp>
 
@@ -11,7 +11,6 @@
 namespace {
 
 namespace json = boost::json;
-using impl::Reader;
 
 bool readLeaving(Reader &reader)
 {
@@ -38,7 +37,7 @@
 std::optional<InstanceList> parseInstanceList(std::string_view text, Faults &faults)
 {
     const std::size_t before = faults.size();
-    const json::value value = impl::parseJson(text, faults);
+    const json::value value = parseJson(text, faults);
     if (faults.size() > before)
         return std::nullopt;
     InstanceList list;
--- a/src/config/questionnaire.cpp
+++ b/src/config/questionnaire.cpp
@@ -1,7 +1,7 @@
 #include "chestnutsill/config/questionnaire.h"
 
 #include "chestnutsill/config/document.h"
-#include "impl/reader.h"
+#include "chestnutsill/config/reader.h"
 
 #include <boost/json.hpp>
 
@@ -110,7 +110,7 @@
 std::optional<Configuration> generateConfiguration(std::string_view answers, Faults &faults)
 {
     const std::size_t before = faults.size();
-    json::value value = impl::parseJson(answers, faults);
+    json::value value = parseJson(answers, faults);
     if (faults.size() == before && !value.is_object())
         faults.push_back({"$", "must be an object"});
     if (faults.size() > before)
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -1,8 +1,8 @@
-#include "impl/reader.h"
+#include "chestnutsill/config/reader.h"
 
 #include "chestnutsill/policy/requestid.h"
 
-namespace chestnutsill::impl {
+namespace chestnutsill {
 
 namespace json = boost::json;
 
@@ -110,6 +110,26 @@
         each(array[i], pathOf(field) + '[' + std::to_string(i) + ']');
 }
 
+bool Reader::has(std::string_view field) const
+{
+    return m_object != nullptr && m_object->contains(field);
+}
+
+Reader Reader::object(std::string_view field)
+{
+    static const json::value Missing;
+    const json::value *value = find(field);
+    return {value != nullptr ? *value : Missing, pathOf(field), m_faults};
+}
+
+void Reader::members(const std::function<void(std::string_view, const json::value &)> &each) const
+{
+    if (m_object == nullptr)
+        return;
+    for (const auto &member : *m_object)
+        each({member.key().data(), member.key().size()}, member.value());
+}
+
 void Reader::refuseUnknown()
 {
     if (m_object == nullptr)
@@ -132,4 +152,4 @@
     return value;
 }
 
-} // namespace chestnutsill::impl
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/entrynode.cpp
@@ -0,0 +1,291 @@
+#include "daemon/entrynode.h"
+
+#include "chestnutsill/clock.h"
+#include "chestnutsill/net/httpserver.h"
+#include "chestnutsill/observe/log.h"
+#include "daemon/fleetlink.h"
+#include "daemon/identity.h"
+#include "daemon/storewatch.h"
+#include "platform/published.h"
+#include "platform/wire.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace chestnutsill {
+
+namespace {
+
+/// Time that a watch of the store waits: a call of each instance proves the configuration so often.
+constexpr milliseconds WatchWait{1500};
+/// Keys are refused this much before the platform's bound, for changes that a watch is late to tell.
+constexpr milliseconds KeyAgeMargin{500};
+/// How long callers keep a directory answer; some keep it three times as long.
+constexpr milliseconds DirectoryLife{1000};
+/// How long a leaving instance takes requests of callers that still hold its address, in parts of the grace
+/// time.
+constexpr double TakeRequestsPart = 0.4;
+/// When a leaving instance stops at the latest, in parts of the grace time.
+constexpr double StopPart = 0.95;
+constexpr milliseconds DrainPoll{50};
+constexpr milliseconds HousekeepingPeriod{250};
+constexpr milliseconds TableTimeout{1000};
+constexpr std::string_view TablePath = "/table";
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+
+RouterSettings routerSettings(const platform::ProcessSettings &settings)
+{
+    RouterSettings router{settings.instance, settings.zone, settings.bounds.keyAge,
+                          settings.bounds.applyWithin};
+    if (router.keyAge)
+        router.keyAge = std::max(*router.keyAge - KeyAgeMargin, milliseconds(0));
+    return router;
+}
+
+std::string peerAddress(const std::string &ip, const platform::ProcessSettings &settings)
+{
+    return ip + ':' + std::to_string(settings.firstPeerPort);
+}
+
+std::vector<std::string> seedAddresses(const platform::ProcessSettings &settings)
+{
+    std::vector<std::string> addresses;
+    for (const std::string &ip : settings.seedIps)
+        addresses.push_back(peerAddress(ip, settings));
+    return addresses;
+}
+
+milliseconds partOf(milliseconds time, double part)
+{
+    return milliseconds(static_cast<milliseconds::rep>(static_cast<double>(time.count()) * part));
+}
+
+} // namespace
+
+class EntryNode::Impl
+{
+public:
+    Impl(const platform::ProcessSettings &settings, std::string settingsPath)
+        : m_settings(settings)
+        , m_settingsPath(std::move(settingsPath))
+        , m_incarnation(randomNumber())
+        , m_io(1)
+        , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+        , m_state(settings.instance,
+                  {settings.bounds.repeatRatio, settings.bounds.repeatSlack, settings.bounds.repeatWindow})
+        , m_router(routerSettings(settings), platform::wireInterface(), m_state)
+        , m_store(settings.store, WatchWait, m_state, [this](std::string_view text) { offerTable(text); })
+        , m_fleet(m_io, peerAddress(settings.ip, settings), seedAddresses(settings), m_state,
+                  {[this] { return self(); },
+                   [this](const std::string &peer, std::uint64_t version) { fetchTable(peer, version); }})
+        , m_callers(
+              m_io, settings.callerListen, [this] { return callerLimits(); },
+              [this](Exchange &exchange, const Fiber &fiber) { m_router.handle(exchange, fiber); })
+        , m_readiness(m_io, settings.readinessListen, HttpLimits{},
+                      [this](Exchange &exchange, const Fiber &fiber) { answerReadiness(exchange, fiber); })
+        , m_directory(m_io, settings.directoryListen, HttpLimits{},
+                      [this](Exchange &exchange, const Fiber &fiber) { answerDirectory(exchange, fiber); })
+        , m_peers(m_io, peerAddress(settings.ip, settings), HttpLimits{},
+                  [this](Exchange &exchange, const Fiber &fiber) { answerPeer(exchange, fiber); })
+    {}
+
+    void run()
+    {
+        startFiber(m_io, [this](const Fiber &fiber) { m_store.run(fiber); });
+        startFiber(m_io, [this](const Fiber &fiber) { m_fleet.run(fiber); });
+        startFiber(m_io, [this](const Fiber &fiber) { keepHouse(fiber); });
+        waitForSignal();
+        log(LogLevel::Info, "started",
+            {{"listen", m_settings.callerListen}, {"incarnation", std::to_string(m_incarnation)}});
+        m_io.run();
+    }
+
+private:
+    [[nodiscard]] bool isServing() const { return !m_state.leaving && m_state.catalog.table() != nullptr; }
+
+    [[nodiscard]] InstanceNews self() const
+    {
+        return {m_settings.instance,
+                m_incarnation,
+                m_settings.zone,
+                m_settings.callerListen,
+                peerAddress(m_settings.ip, m_settings),
+                isServing(),
+                milliseconds(0)};
+    }
+
+    [[nodiscard]] HttpLimits callerLimits() const
+    {
+        HttpLimits limits;
+        if (const auto &table = m_state.catalog.table()) {
+            limits.maxHead = table->limits.maxHead;
+            limits.maxBody = table->limits.maxBody;
+            limits.headTimeout = table->limits.headTimeout;
+            limits.idleTimeout = table->limits.idleTimeout;
+        }
+        return limits;
+    }
+
+    void offerTable(std::string_view text)
+    {
+        Faults faults;
+        auto table = platform::parseTable(text, faults);
+        if (!table) {
+            log(LogLevel::Error, "configuration-refused",
+                {{"field", faults[0].path}, {"reason", faults[0].message}});
+            return;
+        }
+        const std::uint64_t version = table->version;
+        if (!m_state.catalog.offerTable(std::move(table)))
+            return;
+        m_tableText = text;
+        log(LogLevel::Info, "configuration-in-force",
+            {{"configVersion", static_cast<std::int64_t>(version)}});
+    }
+
+    /// Reads a newer table from a peer, one at a time.
+    void fetchTable(const std::string &peer, std::uint64_t version)
+    {
+        if (m_fetching)
+            return;
+        m_fetching = true;
+        startFiber(m_io, [this, peer, version](const Fiber &fiber) {
+            std::string reason;
+            const auto response = fetch(peer, {.target = TablePath}, TableTimeout, fiber, reason);
+            if (response && response->head.status == StatusOk)
+                offerTable(response->body);
+            else
+                log(LogLevel::Warning, "configuration-from-peer-failed",
+                    {{"peer", peer},
+                     {"configVersion", static_cast<std::int64_t>(version)},
+                     {"reason", reason}});
+            m_fetching = false;
+        });
+    }
+
+    void answerReadiness(Exchange &exchange, const Fiber &fiber) const
+    {
+        const bool known = platform::isReadinessCall(exchange.request());
+        const int status = !known ? StatusNotFound : isServing() ? StatusOk : StatusUnavailable;
+        exchange.respond(status, "application/json", "{}", {}, fiber);
+    }
+
+    void answerDirectory(Exchange &exchange, const Fiber &fiber) const
+    {
+        if (!platform::isDirectoryCall(exchange.request())) {
+            exchange.respond(StatusNotFound, "application/json", "{}", {}, fiber);
+            return;
+        }
+        std::vector<std::string> addresses;
+        if (isServing())
+            addresses.push_back(m_settings.callerListen);
+        for (const InstanceNews &instance : m_state.fleet.alive(now())) {
+            if (instance.serving)
+                addresses.push_back(instance.callerAddress);
+        }
+        const int status = addresses.empty() ? StatusUnavailable : StatusOk;
+        exchange.respond(status, "application/json", platform::directoryAnswer(addresses, DirectoryLife), {},
+                         fiber);
+    }
+
+    void answerPeer(Exchange &exchange, const Fiber &fiber) const
+    {
+        const bool known =
+            !exchange.request().fault && exchange.request().target == TablePath && !m_tableText.empty();
+        const std::string text = known ? m_tableText : std::string("{}");
+        exchange.respond(known ? StatusOk : StatusNotFound, "application/json", text, {}, fiber);
+    }
+
+    void keepHouse(const Fiber &fiber)
+    {
+        for (;;) {
+            sleepFor(HousekeepingPeriod, fiber);
+            m_state.catalog.expire(now());
+            m_state.connections.expire(now());
+        }
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                reload();
+            else if (!m_state.leaving)
+                startFiber(m_io, [this](const Fiber &fiber) { leave(fiber); });
+            waitForSignal();
+        });
+    }
+
+    void reload()
+    {
+        Faults faults;
+        const auto settings = readSettingsFile(m_settingsPath, faults);
+        log(settings ? LogLevel::Info : LogLevel::Error, "settings-read-again",
+            {{"reason", faults.empty() ? std::string() : faults[0].path + ' ' + faults[0].message}});
+    }
+
+    void leave(const Fiber &fiber)
+    {
+        m_state.leaving = true;
+        m_fleet.beat();
+        const Instant start = now();
+        log(LogLevel::Info, "leaving",
+            {{"graceMs", static_cast<std::int64_t>(m_settings.bounds.grace.count())}});
+        sleepFor(partOf(m_settings.bounds.grace, TakeRequestsPart), fiber);
+        m_state.closed = true;
+        const Instant end = start + partOf(m_settings.bounds.grace, StopPart);
+        while (m_callers.activeRequests() > 0 && now() < end)
+            sleepFor(DrainPoll, fiber);
+        log(LogLevel::Info, "stopped", {{"cut", static_cast<std::int64_t>(m_callers.activeRequests())}});
+        m_io.stop();
+    }
+
+    const platform::ProcessSettings m_settings;
+    const std::string m_settingsPath;
+    const std::uint64_t m_incarnation;
+    boost::asio::io_context m_io;
+    boost::asio::signal_set m_signals;
+    RouterState m_state;
+    Router m_router;
+    StoreWatch m_store;
+    FleetLink m_fleet;
+    HttpServer m_callers;
+    HttpServer m_readiness;
+    HttpServer m_directory;
+    HttpServer m_peers;
+    /// The table in force as published, for peers.
+    std::string m_tableText;
+    bool m_fetching = false;
+};
+
+EntryNode::EntryNode(const platform::ProcessSettings &settings, std::string settingsPath)
+    : m_impl(std::make_unique<Impl>(settings, std::move(settingsPath)))
+{}
+
+EntryNode::~EntryNode() = default;
+
+void EntryNode::run()
+{
+    m_impl->run();
+}
+
+std::optional<platform::ProcessSettings> readSettingsFile(const std::string &path, Faults &faults)
+{
+    std::ifstream file(path);
+    if (!file) {
+        faults.push_back({"$", "can't be read from " + path});
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return platform::parseSettings(text.str(), faults);
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/entrynode.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "platform/settings.h"
+
+#include <memory>
+#include <string>
+
+namespace chestnutsill {
+
+/// One instance of the system on the users' platform: it serves callers, answers which instances to use, and
+/// follows the store and its peers. All of it runs on one event loop, since an instance has a part of one
+/// core.
+class EntryNode
+{
+public:
+    /// Starts listening. `settingsPath` is read again when it changes. Throws `std::runtime_error` when an
+    /// address can't be listened on.
+    EntryNode(const platform::ProcessSettings &settings, std::string settingsPath);
+    ~EntryNode();
+
+    EntryNode(const EntryNode &) = delete;
+    EntryNode &operator=(const EntryNode &) = delete;
+
+    /// Serves until SIGTERM and the end of what is in progress.
+    void run();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// Reads a settings file. Returns nothing and records faults when it can't be read.
+[[nodiscard]] std::optional<platform::ProcessSettings> readSettingsFile(const std::string &path,
+                                                                        Faults &faults);
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/fleetlink.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "chestnutsill/net/fiber.h"
+#include "chestnutsill/peer/fleetbeat.h"
+#include "chestnutsill/router/router.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chestnutsill {
+
+/// Sends and receives heartbeats by datagrams, which can't get stuck behind one another.
+class FleetLink
+{
+public:
+    /// What is told of this instance, and what to do about a peer that has a newer routing table.
+    struct Handlers
+    {
+        std::function<InstanceNews()> self;
+        std::function<void(const std::string &peerAddress, std::uint64_t version)> newerTable;
+    };
+
+    /// Listens on `address`. `seeds` are addresses to try while no other instance is known.
+    FleetLink(boost::asio::io_context &io, const std::string &address, std::vector<std::string> seeds,
+              RouterState &state, Handlers handlers);
+
+    /// Sends heartbeats until the process ends.
+    void run(const Fiber &fiber);
+
+    /// Sends one heartbeat now.
+    void beat();
+
+private:
+    /// When a peer's last heartbeat came, to be echoed to it.
+    struct Heard
+    {
+        Instant sentAt{};
+        Instant arrivedAt{};
+    };
+
+    void receive();
+    void heard(const FleetBeat &beat);
+    void confirm(const FleetBeat &beat, std::uint64_t ownVersion, Instant time);
+
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::ip::udp::endpoint m_sender;
+    std::array<char, 65536> m_buffer{};
+    std::vector<std::string> m_seeds;
+    RouterState &m_state;
+    Handlers m_handlers;
+    std::uint64_t m_incarnation;
+    /// By incarnation of the peer.
+    std::map<std::uint64_t, Heard> m_heard;
+    std::uint64_t m_turn = 0;
+};
+
+} // namespace chestnutsill
--- a/src/daemon/main/main.cpp
+++ b/src/daemon/main/main.cpp
@@ -1,7 +1,9 @@
 #include "chestnutsill/observe/log.h"
 #include "daemon/daemon.h"
+#include "daemon/entrynode.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 
@@ -9,6 +11,8 @@
 
 constexpr int ExitBadSettings = 2;
 constexpr int ExitFailed = 1;
+/// Names the settings file on the users' platform; where it is set, the daemon serves that platform.
+constexpr const char *PlatformSettingsVariable = "CHESTNUTSILL_CONFIG";
 
 chestnutsill::LogLevel levelOf(const std::string &name)
 {
@@ -20,25 +24,47 @@
     return name == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
+int runOnPlatform(const std::string &settingsPath)
+{
+    chestnutsill::Faults faults;
+    const auto settings = chestnutsill::readSettingsFile(settingsPath, faults);
+    for (const chestnutsill::Fault &fault : faults)
+        std::cerr << "chestnutsilld: " << settingsPath << ": " << fault.path << ' ' << fault.message << '\n';
+    if (!settings)
+        return ExitBadSettings;
+    chestnutsill::setUpLog(settings->instance, chestnutsill::LogLevel::Info);
+    chestnutsill::EntryNode node(*settings, settingsPath);
+    node.run();
+    return 0;
+}
+
+int runOwnInterface(std::span<const char *const> arguments)
+{
+    const auto result = chestnutsill::readSettings(arguments);
+    std::cout << result.output;
+    if (!result.settings) {
+        for (const std::string &fault : result.faults)
+            std::cerr << "chestnutsilld: " << fault << '\n';
+        return result.faults.empty() ? 0 : ExitBadSettings;
+    }
+    chestnutsill::setUpLog(result.settings->name, levelOf(result.settings->logLevel));
+    chestnutsill::Daemon daemon(*result.settings);
+    daemon.run();
+    return 0;
+}
+
 } // namespace
 
 /// Entry point of the daemon.
 int main(int argc, char **argv)
 {
     try {
-        const std::vector<const char *> arguments(argv + 1, argv + argc);
-        const auto result = chestnutsill::readSettings(arguments);
-        std::cout << result.output;
-        if (!result.settings) {
-            for (const std::string &fault : result.faults)
-                std::cerr << "chestnutsilld: " << fault << '\n';
-            return result.faults.empty() ? 0 : ExitBadSettings;
-        }
         std::signal(SIGPIPE, SIG_IGN);
-        chestnutsill::setUpLog(result.settings->name, levelOf(result.settings->logLevel));
-        chestnutsill::Daemon daemon(*result.settings);
-        daemon.run();
-        return 0;
+        const std::vector<const char *> arguments(argv + 1, argv + argc);
+        const char *platformSettings = std::getenv(PlatformSettingsVariable);
+        if (platformSettings != nullptr && arguments.empty())
+            return runOnPlatform(platformSettings);
+        return runOwnInterface(arguments);
     } catch (const std::exception &error) {
         std::cerr << "chestnutsilld: " << error.what() << '\n';
         return ExitFailed;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -2,6 +2,9 @@
 
 #include "impl/beast.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 
 namespace chestnutsill {
@@ -22,6 +25,8 @@
     std::array<char, PieceSize> piece{};
     std::string reason;
     bool timedOut = false;
+    /// Set while a request of `startSend` is on its way.
+    std::optional<http::request<http::span_body<const char>>> outgoing;
 
     bool note(std::string_view doing, const boost::system::error_code &error)
     {
@@ -33,11 +38,52 @@
     }
 };
 
+namespace {
+
+constexpr int KeepAliveIdleSeconds = 2;
+constexpr int KeepAlivePeriodSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+/// Time without an acknowledgement after which written bytes count as lost.
+constexpr int UnacknowledgedMs = 3000;
+
+/// Makes a connection that has gone silent fail within a few seconds.
+void detectSilence(Tcp::socket &socket)
+{
+    const auto set = [&](int level, int option, int value) {
+        ::setsockopt(socket.native_handle(), level, option, &value, sizeof value);
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAlivePeriodSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMs);
+}
+
+template<typename Request>
+void setHead(Request &request, const HttpCall &call, const std::string &host)
+{
+    request.version(11);
+    request.method_string(impl::toBeast(call.method));
+    request.target(impl::toBeast(call.target));
+    request.set(http::field::host, host);
+    for (const HttpField &field : call.fields) {
+        if (beast::iequals(impl::toBeast(field.name), "host"))
+            request.set(http::field::host, field.value);
+        else
+            request.insert(field.name, field.value);
+    }
+}
+
+} // namespace
+
 HttpClient::HttpClient()
-    : m_impl(std::make_unique<Impl>())
+    : m_impl(std::make_shared<Impl>())
 {}
 
-HttpClient::~HttpClient() = default;
+HttpClient::~HttpClient()
+{
+    close();
+}
 
 bool HttpClient::connect(std::string_view address, milliseconds timeout, const Fiber &fiber)
 {
@@ -56,18 +102,14 @@
         return false;
     boost::system::error_code ignored;
     stream.socket().set_option(Tcp::no_delay(true), ignored);
+    detectSilence(stream.socket());
     return true;
 }
 
 bool HttpClient::send(const HttpCall &call, milliseconds timeout, const Fiber &fiber)
 {
     http::request<http::string_body> request;
-    request.version(11);
-    request.method_string(impl::toBeast(call.method));
-    request.target(impl::toBeast(call.target));
-    request.set(http::field::host, m_impl->host);
-    for (const HttpField &field : call.fields)
-        request.set(field.name, field.value);
+    setHead(request, call, m_impl->host);
     request.body().assign(call.body.data(), call.body.size());
     request.prepare_payload();
     boost::system::error_code error;
@@ -76,18 +118,53 @@
     return m_impl->note("send", error);
 }
 
+void HttpClient::startSend(const HttpCall &call, milliseconds timeout)
+{
+    auto &request = m_impl->outgoing.emplace();
+    setHead(request, call, m_impl->host);
+    request.body() = {call.body.data(), call.body.size()};
+    request.prepare_payload();
+    m_impl->stream->expires_after(timeout);
+    http::async_write(*m_impl->stream, request,
+                      [impl = m_impl](const boost::system::error_code &error, std::size_t) {
+                          if (!error)
+                              impl->outgoing.reset();
+                      });
+}
+
+bool HttpClient::sendFinished() const noexcept
+{
+    return !m_impl->outgoing;
+}
+
+bool HttpClient::isIdle()
+{
+    if (!m_impl->stream || m_impl->outgoing || m_impl->buffer.size() != 0)
+        return false;
+    char byte = 0;
+    const auto got = ::recv(m_impl->stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 std::optional<HttpHead> HttpClient::readHead(milliseconds timeout, const Fiber &fiber)
 {
-    auto &parser = m_impl->parser.emplace();
-    parser.body_limit(boost::none);
+    constexpr unsigned FirstFinalStatus = 200;
     boost::system::error_code error;
-    m_impl->stream->expires_after(timeout);
-    http::async_read_header(*m_impl->stream, m_impl->buffer, parser, fiber[error]);
-    if (!m_impl->note("read response head", error))
-        return std::nullopt;
+    do {
+        auto &parser = m_impl->parser.emplace();
+        parser.body_limit(boost::none);
+        m_impl->stream->expires_after(timeout);
+        http::async_read_header(*m_impl->stream, m_impl->buffer, parser, fiber[error]);
+        if (!m_impl->note("read response head", error))
+            return std::nullopt;
+    } while (m_impl->parser->get().result_int() < FirstFinalStatus);
+    const auto &parser = *m_impl->parser;
     HttpHead head;
     head.status = static_cast<int>(parser.get().result_int());
     head.fields = impl::copyFields(parser.get());
+    head.keepAlive = parser.keep_alive();
+    if (const auto length = parser.content_length())
+        head.length = *length;
     return head;
 }
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -20,23 +20,23 @@
 
 struct HttpServer::State
 {
-    State(io_context &context, HttpLimits bounds, Handler onRequest)
+    State(io_context &context, LimitsSource bounds, Handler onRequest)
         : io(context)
         , acceptor(boost::asio::make_strand(context))
-        , limits(bounds)
+        , limits(std::move(bounds))
         , handler(std::move(onRequest))
     {}
 
     io_context &io;
     Tcp::acceptor acceptor;
-    HttpLimits limits;
+    LimitsSource limits;
     Handler handler;
     std::atomic<int> active = 0;
 };
 
 namespace {
 
-constexpr std::size_t MaxHeadBytes = 16'384;
+constexpr std::size_t ReadBytes = 16'384;
 constexpr std::chrono::milliseconds DiscardTime{2000};
 
 /// A caller's connection as an exchange. Lives as long as one request.
@@ -79,19 +79,46 @@
         return noteResult(error);
     }
 
+    bool startRelay(int status, std::span<const HttpField> fields, std::optional<std::uint64_t> length,
+                    const Fiber &fiber) override
+    {
+        http::response<http::empty_body> response(static_cast<http::status>(status), 11);
+        for (const HttpField &field : fields)
+            response.insert(field.name, field.value);
+        response.keep_alive(m_keepAlive);
+        if (length)
+            response.content_length(*length);
+        else
+            response.chunked(true);
+        m_chunked = !length;
+        http::response_serializer<http::empty_body> serializer(response);
+        boost::system::error_code error;
+        m_stream.expires_after(m_limits.writeTimeout);
+        http::async_write_header(m_stream, serializer, fiber[error]);
+        m_inStream = true;
+        return noteResult(error);
+    }
+
     bool sendPiece(std::string_view piece, const Fiber &fiber) override
     {
-        if (piece.empty())
+        if (piece.empty() || m_failed)
             return !m_failed;
         boost::system::error_code error;
+        const auto bytes = boost::asio::buffer(piece.data(), piece.size());
         m_stream.expires_after(m_limits.writeTimeout);
-        boost::asio::async_write(m_stream, http::make_chunk(boost::asio::buffer(piece.data(), piece.size())),
-                                 fiber[error]);
+        if (m_chunked)
+            boost::asio::async_write(m_stream, http::make_chunk(bytes), fiber[error]);
+        else
+            boost::asio::async_write(m_stream, bytes, fiber[error]);
         return noteResult(error);
     }
 
     bool endStream(const Fiber &fiber) override
     {
+        if (!m_chunked || m_failed) {
+            m_inStream = false;
+            return !m_failed;
+        }
         boost::system::error_code error;
         m_stream.expires_after(m_limits.writeTimeout);
         boost::asio::async_write(m_stream, http::make_chunk_last(), fiber[error]);
@@ -113,6 +140,29 @@
         return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
+    void watchCaller(std::function<void()> onGone) override
+    {
+        m_onGone = std::make_shared<std::function<void()>>(std::move(onGone));
+        m_stream.socket().async_wait(Tcp::socket::wait_read, [this, watch = std::weak_ptr(m_onGone)](
+                                                                 const boost::system::error_code &error) {
+            const auto onGone = watch.lock();
+            if (!error && onGone && callerGone())
+                (*onGone)();
+        });
+    }
+
+    void closeAfterResponse() override { m_keepAlive = false; }
+
+    /// Ends the watch, so that the next request can be read.
+    void endWatch()
+    {
+        if (!m_onGone)
+            return;
+        m_onGone.reset();
+        boost::system::error_code ignored;
+        m_stream.socket().cancel(ignored);
+    }
+
     /// Whether the connection can serve another request.
     [[nodiscard]] bool reusable() const noexcept
     {
@@ -141,6 +191,9 @@
     bool m_keepAlive;
     bool m_failed = false;
     bool m_inStream = false;
+    bool m_chunked = true;
+    /// Alive while the caller is watched.
+    std::shared_ptr<std::function<void()>> m_onGone;
 };
 
 using Parser = http::request_parser<http::string_body>;
@@ -200,19 +253,26 @@
 std::optional<HttpRequest> readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, Parser &parser,
                                        const HttpLimits &limits, const Fiber &fiber)
 {
-    parser.header_limit(MaxHeadBytes);
+    parser.header_limit(static_cast<std::uint32_t>(limits.maxHead));
     parser.body_limit(limits.maxBody);
     boost::system::error_code error;
     if (buffer.size() == 0) {
         stream.expires_after(limits.idleTimeout);
-        const std::size_t size = stream.async_read_some(buffer.prepare(MaxHeadBytes), fiber[error]);
+        const std::size_t size = stream.async_read_some(buffer.prepare(ReadBytes), fiber[error]);
         if (error)
             return std::nullopt;
         buffer.commit(size);
     }
-    const ReadDeadline deadline(stream, limits.readTimeout);
-    http::async_read(stream, buffer, parser, fiber[error]);
-    error = deadline.translate(error);
+    {
+        const ReadDeadline deadline(stream, limits.headTimeout);
+        http::async_read_header(stream, buffer, parser, fiber[error]);
+        error = deadline.translate(error);
+    }
+    if (!error && !parser.is_done()) {
+        const ReadDeadline deadline(stream, limits.readTimeout);
+        http::async_read(stream, buffer, parser, fiber[error]);
+        error = deadline.translate(error);
+    }
     HttpRequest request = toRequest(parser);
     if (error)
         request.fault = faultOf(error);
@@ -236,7 +296,7 @@
 /// Reads and drops what the caller still sends, so that it can read the refusal before the connection closes.
 void discardInput(beast::tcp_stream &stream, const Fiber &fiber)
 {
-    std::array<char, MaxHeadBytes> buffer;
+    std::array<char, ReadBytes> buffer;
     boost::system::error_code error;
     stream.expires_after(DiscardTime);
     while (!error)
@@ -251,12 +311,14 @@
     stream.socket().set_option(Tcp::no_delay(true), ignored);
     for (;;) {
         Parser parser;
-        auto request = readRequest(stream, buffer, parser, state.limits, fiber);
+        const HttpLimits limits = state.limits();
+        auto request = readRequest(stream, buffer, parser, limits, fiber);
         if (!request)
             break;
         const ActiveRequest active(state.active);
-        BeastExchange exchange(stream, std::move(*request), state.limits, parser.get().keep_alive());
+        BeastExchange exchange(stream, std::move(*request), limits, parser.get().keep_alive());
         state.handler(exchange, fiber);
+        exchange.endWatch();
         if (exchange.request().fault) {
             stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
             discardInput(stream, fiber);
@@ -292,7 +354,12 @@
 } // namespace
 
 HttpServer::HttpServer(io_context &io, const std::string &address, HttpLimits limits, Handler handler)
-    : m_state(std::make_shared<State>(io, limits, std::move(handler)))
+    : HttpServer(
+        io, address, [limits] { return limits; }, std::move(handler))
+{}
+
+HttpServer::HttpServer(io_context &io, const std::string &address, LimitsSource limits, Handler handler)
+    : m_state(std::make_shared<State>(io, std::move(limits), std::move(handler)))
 {
     const auto endpoint = impl::toEndpoint(address);
     if (!endpoint)
--- /dev/null
+++ b/src/peer/fleet.capnp
@@ -0,0 +1,43 @@
+@0xe1c5b7a90d3f2864;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("chestnutsill::wire");
+
+struct InstanceNews {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  zone @2 :Text;
+  callerAddress @3 :Text;
+  peerAddress @4 :Text;
+  serving @5 :Bool;
+  ageMs @6 :UInt32;
+}
+
+struct LoadShare {
+  # Hash of the upstream's id.
+  upstream @0 :UInt64;
+  running @1 :UInt16;
+  unreadTokens @2 :Float32;
+}
+
+struct Echo {
+  # Incarnation of the instance whose heartbeat is echoed.
+  incarnation @0 :UInt64;
+  # Its clock when it sent that heartbeat.
+  sentAt @1 :Int64;
+  # Microseconds from its arrival to this heartbeat.
+  held @2 :Int64;
+}
+
+# Sent as one datagram, packed.
+struct FleetBeat {
+  self @0 :InstanceNews;
+  others @1 :List(InstanceNews);
+  tableVersion @2 :UInt64;
+  # Age of the confirmation that this version is the newest; negative when there is none.
+  confirmedAgeMs @3 :Int32;
+  loads @4 :List(LoadShare);
+  # Microseconds by the sender's clock.
+  sentAt @5 :Int64;
+  echoes @6 :List(Echo);
+}
--- /dev/null
+++ b/src/peer/fleetbeat.cpp
@@ -0,0 +1,103 @@
+#include "chestnutsill/peer/fleetbeat.h"
+
+#include "impl/fleet.capnp.h"
+
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace chestnutsill {
+
+namespace {
+
+constexpr std::int32_t NeverConfirmed = -1;
+
+template<typename Number>
+Number clampTo(std::int64_t value)
+{
+    return static_cast<Number>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<Number>::max()));
+}
+
+std::string toText(capnp::Text::Reader text)
+{
+    return {text.begin(), text.size()};
+}
+
+void write(wire::InstanceNews::Builder out, const InstanceNews &news)
+{
+    out.setName(news.name.c_str());
+    out.setIncarnation(news.incarnation);
+    out.setZone(news.zone.c_str());
+    out.setCallerAddress(news.callerAddress.c_str());
+    out.setPeerAddress(news.peerAddress.c_str());
+    out.setServing(news.serving);
+    out.setAgeMs(clampTo<std::uint32_t>(news.age.count()));
+}
+
+InstanceNews read(wire::InstanceNews::Reader in)
+{
+    return {toText(in.getName()),          in.getIncarnation(),         toText(in.getZone()),
+            toText(in.getCallerAddress()), toText(in.getPeerAddress()), in.getServing(),
+            milliseconds(in.getAgeMs())};
+}
+
+} // namespace
+
+std::string encodeBeat(const FleetBeat &beat)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::FleetBeat>();
+    write(root.initSelf(), beat.self);
+    auto others = root.initOthers(static_cast<unsigned>(beat.others.size()));
+    for (unsigned i = 0; i < others.size(); ++i)
+        write(others[i], beat.others[i]);
+    root.setTableVersion(beat.tableVersion);
+    root.setConfirmedAgeMs(beat.confirmedAge ? clampTo<std::int32_t>(beat.confirmedAge->count())
+                                             : NeverConfirmed);
+    auto loads = root.initLoads(static_cast<unsigned>(beat.loads.size()));
+    for (unsigned i = 0; i < loads.size(); ++i) {
+        loads[i].setUpstream(beat.loads[i].upstream);
+        loads[i].setRunning(clampTo<std::uint16_t>(beat.loads[i].load.running));
+        loads[i].setUnreadTokens(static_cast<float>(beat.loads[i].load.unreadTokens));
+    }
+    root.setSentAt(beat.sentAt.count());
+    auto echoes = root.initEchoes(static_cast<unsigned>(beat.echoes.size()));
+    for (unsigned i = 0; i < echoes.size(); ++i) {
+        echoes[i].setIncarnation(beat.echoes[i].incarnation);
+        echoes[i].setSentAt(beat.echoes[i].sentAt.count());
+        echoes[i].setHeld(beat.echoes[i].held.count());
+    }
+    kj::VectorOutputStream bytes;
+    capnp::writePackedMessage(bytes, message);
+    const auto array = bytes.getArray();
+    return {reinterpret_cast<const char *>(array.begin()), array.size()};
+}
+
+std::optional<FleetBeat> decodeBeat(std::span<const char> bytes)
+{
+    FleetBeat beat;
+    const auto failure = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream stream({reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()});
+        capnp::PackedMessageReader message(stream);
+        const auto root = message.getRoot<wire::FleetBeat>();
+        beat.self = read(root.getSelf());
+        for (const auto other : root.getOthers())
+            beat.others.push_back(read(other));
+        beat.tableVersion = root.getTableVersion();
+        if (root.getConfirmedAgeMs() >= 0)
+            beat.confirmedAge = milliseconds(root.getConfirmedAgeMs());
+        for (const auto load : root.getLoads())
+            beat.loads.push_back({load.getUpstream(), {load.getRunning(), load.getUnreadTokens()}});
+        beat.sentAt = Instant(root.getSentAt());
+        for (const auto echo : root.getEchoes())
+            beat.echoes.push_back(
+                {echo.getIncarnation(), Instant(echo.getSentAt()), Instant(echo.getHeld())});
+    });
+    if (failure != nullptr || beat.self.name.empty())
+        return std::nullopt;
+    return beat;
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/policy/placing.cpp
@@ -0,0 +1,84 @@
+#include "chestnutsill/policy/placing.h"
+
+#include "chestnutsill/policy/hash.h"
+
+#include <algorithm>
+
+namespace chestnutsill {
+
+namespace {
+
+/// How much reading a shared part at another upstream counts against its time alone.
+constexpr double RereadWeight = 1.5;
+/// What a share of failures of 1 counts as, in milliseconds: more than any queue that is worth waiting for.
+constexpr double FailureMs = 3000;
+/// What another availability zone counts as, in milliseconds; breaks ties in favour of traffic that stays
+/// near.
+constexpr double OtherZoneMs = 2;
+/// Width of the random part of a cost, in milliseconds, so that instances with the same view don't all choose
+/// alike.
+constexpr double JitterMs = 1;
+
+double sharedTokens(const Prompt &prompt)
+{
+    double tokens = 0;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+        tokens += prompt.parts[i].tokens;
+    return tokens;
+}
+
+/// The candidate that ranks first for the last shared part of a prompt; nothing when the prompt shares none.
+std::optional<std::size_t> homeOf(std::span<const PlacingCandidate> candidates, const Prompt &prompt)
+{
+    if (prompt.parts.size() < 2)
+        return std::nullopt;
+    const std::uint64_t part = prompt.parts[prompt.parts.size() - 2].id;
+    std::size_t best = 0;
+    std::uint64_t bestRank = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const std::uint64_t rank = stableHash(candidates[i].upstream, part);
+        if (rank >= bestRank) {
+            bestRank = rank;
+            best = i;
+        }
+    }
+    return best;
+}
+
+double jitter(std::string_view upstream, std::uint64_t seed)
+{
+    constexpr std::uint64_t Steps = 1024;
+    return JitterMs * static_cast<double>(stableHash(upstream, seed) % Steps) / Steps;
+}
+
+} // namespace
+
+std::optional<Placement> place(std::span<const PlacingCandidate> candidates, const Prompt &prompt,
+                               const PlacingSpeed &speed, std::uint64_t seed)
+{
+    const auto home = homeOf(candidates, prompt);
+    std::optional<Placement> best;
+    double bestCost = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const PlacingCandidate &candidate = candidates[i];
+        const bool isHome = home == i;
+        const double cached =
+            isHome ? std::max(candidate.cachedTokens, sharedTokens(prompt)) : candidate.cachedTokens;
+        const double unread = std::max(prompt.tokens - cached, 0.0);
+        const double readMs = unread / speed.promptTokensPerMs;
+        double firstTokenMs =
+            candidate.unreadTokens / speed.promptTokensPerMs + candidate.running * speed.runningMs;
+        if (candidate.running >= candidate.slots)
+            firstTokenMs += (candidate.running - candidate.slots + 1) * speed.waitMs;
+        const double cost = firstTokenMs + readMs * (isHome ? 1 : RereadWeight)
+                            + candidate.failureShare * FailureMs + (candidate.sameZone ? 0 : OtherZoneMs)
+                            + jitter(candidate.upstream, seed);
+        if (!best || cost < bestCost) {
+            best = Placement{i, firstTokenMs + readMs, unread};
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/policy/upstreamload.cpp
@@ -0,0 +1,102 @@
+#include "chestnutsill/policy/upstreamload.h"
+
+#include "chestnutsill/policy/hash.h"
+
+#include <algorithm>
+
+namespace chestnutsill {
+
+void LoadBook::begin(std::string_view upstream, double tokens)
+{
+    Load &load = m_own[std::string(upstream)];
+    ++load.running;
+    load.unreadTokens += tokens;
+}
+
+void LoadBook::read(std::string_view upstream, double tokens)
+{
+    Load &load = m_own[std::string(upstream)];
+    load.unreadTokens = std::max(load.unreadTokens - tokens, 0.0);
+}
+
+void LoadBook::end(std::string_view upstream)
+{
+    const auto found = m_own.find(upstream);
+    if (found != m_own.end() && --found->second.running <= 0)
+        m_own.erase(found);
+}
+
+void LoadBook::hear(std::string_view peer, const std::vector<LoadShare> &shares, Instant now)
+{
+    PeerLoad &known = m_peers[std::string(peer)];
+    known.loads.clear();
+    known.heardAt = now;
+    for (const LoadShare &share : shares)
+        known.loads[share.upstream] = share.load;
+    std::erase_if(m_peers, [&](const auto &item) { return now - item.second.heardAt > PeerMemory; });
+}
+
+Load LoadBook::total(std::string_view upstream, Instant now) const
+{
+    Load sum;
+    if (const auto own = m_own.find(upstream); own != m_own.end())
+        sum = own->second;
+    const std::uint64_t hash = stableHash(upstream);
+    for (const auto &[name, peer] : m_peers) {
+        const auto found = peer.loads.find(hash);
+        if (found == peer.loads.end() || now - peer.heardAt > PeerMemory)
+            continue;
+        sum.running += found->second.running;
+        sum.unreadTokens += found->second.unreadTokens;
+    }
+    return sum;
+}
+
+std::vector<LoadShare> LoadBook::own() const
+{
+    std::vector<LoadShare> shares;
+    for (const auto &[upstream, load] : m_own)
+        shares.push_back({stableHash(upstream), load});
+    return shares;
+}
+
+double PartCache::cachedTokens(std::string_view upstream, const Prompt &prompt) const
+{
+    const auto found = m_holdings.find(upstream);
+    if (found == m_holdings.end())
+        return 0;
+    double tokens = 0;
+    for (const PromptPart &part : prompt.parts) {
+        if (!found->second.byId.contains(part.id))
+            break;
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+void PartCache::store(std::string_view upstream, const Prompt &prompt, std::uint64_t capacity)
+{
+    Holding &holding = m_holdings[std::string(upstream)];
+    // From the last part to the first, since a part is of no use once one before it has gone.
+    for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part) {
+        if (const auto known = holding.byId.find(part->id); known != holding.byId.end()) {
+            holding.order.splice(holding.order.end(), holding.order, known->second);
+            continue;
+        }
+        holding.byId[part->id] = holding.order.insert(holding.order.end(), *part);
+        holding.tokens += part->tokens;
+    }
+    while (holding.tokens > capacity && !holding.order.empty()) {
+        holding.tokens -= holding.order.front().tokens;
+        holding.byId.erase(holding.order.front().id);
+        holding.order.pop_front();
+    }
+}
+
+void PartCache::forget(std::string_view upstream)
+{
+    if (const auto found = m_holdings.find(upstream); found != m_holdings.end())
+        m_holdings.erase(found);
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/router/eventsplitter.cpp
@@ -0,0 +1,53 @@
+#include "chestnutsill/router/eventsplitter.h"
+
+#include <algorithm>
+
+namespace chestnutsill {
+
+namespace {
+
+/// The text after `id:` in the last line that has it; nothing to change when there is none.
+std::string_view lastIdIn(std::string_view events)
+{
+    constexpr std::string_view Field = "id:";
+    std::string_view id;
+    while (!events.empty()) {
+        const auto end = events.find('\n');
+        std::string_view line = events.substr(0, end);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (line.starts_with(Field)) {
+            id = line.substr(Field.size());
+            id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
+        }
+        events = end == std::string_view::npos ? std::string_view() : events.substr(end + 1);
+    }
+    return id;
+}
+
+/// Place after the last empty line, which ends an event; 0 when there is none.
+std::size_t endOfLastEvent(std::string_view text)
+{
+    std::size_t end = 0;
+    for (const std::string_view mark : {std::string_view("\n\n"), std::string_view("\n\r\n")}) {
+        const auto found = text.rfind(mark);
+        if (found != std::string_view::npos)
+            end = std::max(end, found + mark.size());
+    }
+    return end;
+}
+
+} // namespace
+
+std::string EventSplitter::feed(std::string_view bytes)
+{
+    m_rest += bytes;
+    const std::size_t end = endOfLastEvent(m_rest);
+    std::string events = m_rest.substr(0, end);
+    m_rest.erase(0, end);
+    if (const std::string_view id = lastIdIn(events); !id.empty())
+        m_lastId = id;
+    return events;
+}
+
+} // namespace chestnutsill
--- /dev/null
+++ b/src/router/routedcall.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "chestnutsill/net/exchange.h"
+#include "chestnutsill/net/httpclient.h"
+#include "chestnutsill/policy/routing.h"
+#include "chestnutsill/policy/upstreamjudge.h"
+#include "chestnutsill/policy/verdict.h"
+#include "chestnutsill/router/callerrequest.h"
+#include "chestnutsill/router/eventsplitter.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chestnutsill {
+
+/// One try at one upstream.
+struct RoutedAttempt
+{
+    std::string upstream;
+    std::string address;
+    /// Prompt tokens that the upstream has to read, as predicted, and the predicted time to the first token.
+    double unreadTokens = 0;
+    double predictedMs = 0;
+    std::unique_ptr<HttpClient> client;
+    /// Whether a byte was handed to the network.
+    bool sent = false;
+    bool firstByteSeen = false;
+    /// Whether another try has been decided on, and paid for from the budget.
+    bool repeatGranted = false;
+    Verdict verdict = Verdict::NotRun;
+    AttemptResult result = AttemptResult::Unreachable;
+    int status = 0;
+    std::string reason;
+};
+
+/// A request on its way through the router.
+struct RoutedCall
+{
+    explicit RoutedCall(Exchange &callerExchange)
+        : exchange(callerExchange)
+    {}
+
+    Exchange &exchange;
+    CallerRequest request;
+    /// Keeps the table alive that `route` and `account` point into.
+    std::shared_ptr<const RoutingTable> table;
+    const Route *route = nullptr;
+    const ClientAccount *account = nullptr;
+    const Service *service = nullptr;
+    std::string serviceName;
+    Instant arrivedAt{};
+    /// When the caller, or the operator for it, stops waiting.
+    Instant endBy{};
+
+    bool callerGone = false;
+    /// The connection that a leaving caller cancels.
+    HttpClient *active = nullptr;
+    /// Upstreams that were tried, and the number of those that may have run the request.
+    std::vector<std::string> tried;
+    int possibleRuns = 0;
+    /// Whether a part of the answer has reached the caller.
+    bool started = false;
+    /// Whether the whole answer has.
+    bool ended = false;
+    int status = 0;
+    Instant firstByteAt{};
+    EventSplitter events;
+};
+
+} // namespace chestnutsill
