Weigh reading shared parts again at 2.5 times its time when placing prompts

Ruled out: walking the rendezvous ranks and staying wherever the first token is predicted within 0.4 of its target. Change: the cheapest upstream as before, with the weight of reading again raised from 1.5 to 2.5. A request that ends at its deadline is answered 504 although the timer fired a little early.

--- a/include/chestnutsill/policy/placing.h
+++ b/include/chestnutsill/policy/placing.h
@@ -35,6 +35,8 @@
     double runningMs = 0.5;
     /// Time that a request waits for each one before it when all slots are taken, in milliseconds.
     double waitMs = 30;
+    /// Longest predicted time to the first token with which a request stays where its shared part lies.
+    double patienceMs = 500;
 };
 
 /// Which upstream takes a request, and when its answer is expected to begin.
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -117,9 +117,9 @@
 
 Reader Reader::object(std::string_view field)
 {
-    static const json::value Missing;
+    static const json::value missing;
     const json::value *value = find(field);
-    return {value != nullptr ? *value : Missing, pathOf(field), m_faults};
+    return {value != nullptr ? *value : missing, pathOf(field), m_faults};
 }
 
 void Reader::members(const std::function<void(std::string_view, const json::value &)> &each) const
--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -3,13 +3,15 @@
 #include "chestnutsill/policy/hash.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace chestnutsill {
 
 namespace {
 
 /// How much reading a shared part at another upstream counts against its time alone.
-constexpr double RereadWeight = 1.5;
+constexpr double RereadWeight = 2.5;
 /// What a share of failures of 1 counts as, in milliseconds: more than any queue that is worth waiting for.
 constexpr double FailureMs = 3000;
 /// What another availability zone counts as, in milliseconds; breaks ties in favour of traffic that stays
@@ -33,11 +35,11 @@
     if (prompt.parts.size() < 2)
         return std::nullopt;
     const std::uint64_t part = prompt.parts[prompt.parts.size() - 2].id;
-    std::size_t best = 0;
+    std::optional<std::size_t> best;
     std::uint64_t bestRank = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const std::uint64_t rank = stableHash(candidates[i].upstream, part);
-        if (rank >= bestRank) {
+        if (!best || rank > bestRank) {
             bestRank = rank;
             best = i;
         }
@@ -51,31 +53,46 @@
     return JitterMs * static_cast<double>(stableHash(upstream, seed) % Steps) / Steps;
 }
 
+/// What is expected of one candidate.
+struct Estimate
+{
+    double firstTokenMs = 0;
+    double unreadTokens = 0;
+    double cost = 0;
+};
+
+Estimate estimate(const PlacingCandidate &candidate, const Prompt &prompt, double cached, double rereadWeight,
+                  const PlacingSpeed &speed, std::uint64_t seed)
+{
+    Estimate result;
+    result.unreadTokens = std::max(prompt.tokens - cached, 0.0);
+    const double readMs = result.unreadTokens / speed.promptTokensPerMs;
+    double waitMs = candidate.unreadTokens / speed.promptTokensPerMs + candidate.running * speed.runningMs;
+    if (candidate.running >= candidate.slots)
+        waitMs += (candidate.running - candidate.slots + 1) * speed.waitMs;
+    result.firstTokenMs = waitMs + readMs;
+    result.cost = waitMs + readMs * rereadWeight + candidate.failureShare * FailureMs
+                  + (candidate.sameZone ? 0 : OtherZoneMs) + jitter(candidate.upstream, seed);
+    return result;
+}
+
 } // namespace
 
 std::optional<Placement> place(std::span<const PlacingCandidate> candidates, const Prompt &prompt,
                                const PlacingSpeed &speed, std::uint64_t seed)
 {
     const auto home = homeOf(candidates, prompt);
+    const double shared = sharedTokens(prompt);
     std::optional<Placement> best;
     double bestCost = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlacingCandidate &candidate = candidates[i];
         const bool isHome = home == i;
-        const double cached =
-            isHome ? std::max(candidate.cachedTokens, sharedTokens(prompt)) : candidate.cachedTokens;
-        const double unread = std::max(prompt.tokens - cached, 0.0);
-        const double readMs = unread / speed.promptTokensPerMs;
-        double firstTokenMs =
-            candidate.unreadTokens / speed.promptTokensPerMs + candidate.running * speed.runningMs;
-        if (candidate.running >= candidate.slots)
-            firstTokenMs += (candidate.running - candidate.slots + 1) * speed.waitMs;
-        const double cost = firstTokenMs + readMs * (isHome ? 1 : RereadWeight)
-                            + candidate.failureShare * FailureMs + (candidate.sameZone ? 0 : OtherZoneMs)
-                            + jitter(candidate.upstream, seed);
-        if (!best || cost < bestCost) {
-            best = Placement{i, firstTokenMs + readMs, unread};
-            bestCost = cost;
+        const double cached = isHome ? std::max(candidate.cachedTokens, shared) : candidate.cachedTokens;
+        const Estimate expected = estimate(candidate, prompt, cached, isHome ? 1 : RereadWeight, speed, seed);
+        if (!best || expected.cost < bestCost) {
+            best = Placement{i, expected.firstTokenMs, expected.unreadTokens};
+            bestCost = expected.cost;
         }
     }
     return best;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -24,6 +24,10 @@
 constexpr int LowestEngineRank = 9;
 /// Pause after which callers that were refused for want of something short-lived may return.
 constexpr milliseconds ShortPause{250};
+/// Part of the target for the first token that may be spent to stay where the shared part of a prompt lies.
+constexpr double PatiencePart = 0.4;
+/// Timers may fire this much before the end that they were set for.
+constexpr milliseconds EndSlack{5};
 constexpr int FirstServerError = 500;
 constexpr int StatusOk = 200;
 
@@ -168,7 +172,7 @@
             continue;
         if (call.possibleRuns == 0)
             return notRun(attempt.reason, "no upstream took the request");
-        if (now() >= call.endBy)
+        if (now() + EndSlack >= call.endBy)
             return refusal(504, Verdict::MayHaveRun, "deadline", "upstream", "no answer came in time");
         return refusal(502, Verdict::MayHaveRun, "upstream-failed", "upstream", attempt.reason);
     }
@@ -197,9 +201,10 @@
                               .failureShare = m_state.judge.failureShare(id, time),
                               .sameZone = record->entry.zone == m_settings.zone});
     }
+    PlacingSpeed speed;
+    speed.patienceMs = PatiencePart * static_cast<double>(call.route->target.count());
     while (!candidates.empty()) {
-        const auto placement =
-            place(candidates, call.request.prompt, PlacingSpeed{}, stableHash(call.request.attemptId));
+        const auto placement = place(candidates, call.request.prompt, speed, stableHash(call.request.attemptId));
         const UpstreamRecord &record = *records[placement->candidate];
         const bool isCold =
             time < record.coldUntil && call.service != nullptr && call.service->coldPerSecond > 0;
