Count the running requests that reading a prompt delays when placing it

Cause: a long unread prompt was as likely to be read where many streams run as where few do; each of them pauses meanwhile. Change: reading costs 0.05 of its time for every running request beside the reading time itself.

--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -12,6 +12,8 @@
 
 /// How much reading a shared part at another upstream counts against its time alone.
 constexpr double RereadWeight = 2.5;
+/// How much each millisecond of reading counts for every running request, whose next token it delays.
+constexpr double PauseWeight = 0.05;
 /// What a share of failures of 1 counts as, in milliseconds: more than any queue that is worth waiting for.
 constexpr double FailureMs = 3000;
 /// What another availability zone counts as, in milliseconds; breaks ties in favour of traffic that stays
@@ -71,7 +73,8 @@
     if (candidate.running >= candidate.slots)
         waitMs += (candidate.running - candidate.slots + 1) * speed.waitMs;
     result.firstTokenMs = waitMs + readMs;
-    result.cost = waitMs + readMs * rereadWeight + candidate.failureShare * FailureMs
+    const double harmMs = readMs * candidate.running * PauseWeight;
+    result.cost = waitMs + readMs * rereadWeight + harmMs + candidate.failureShare * FailureMs
                   + (candidate.sameZone ? 0 : OtherZoneMs) + jitter(candidate.upstream, seed);
     return result;
 }
