Keep pause-sensitive streams apart from long prompts, and tell peers where shared parts were read

And each instance knew only of the copies of a shared part that it had caused itself. Change: a quarter of the upstreams, by hash, take the streams of the route with the shortest pause first, the others the rest.

--- a/include/chestnutsill/peer/fleetbeat.h
+++ b/include/chestnutsill/peer/fleetbeat.h
@@ -36,6 +36,7 @@
     /// The sender's clock.
     Instant sentAt{};
     std::vector<BeatEcho> echoes;
+    std::vector<PartCopy> copies;
 };
 
 /// The bytes of a heartbeat.
--- a/include/chestnutsill/policy/placing.h
+++ b/include/chestnutsill/policy/placing.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace chestnutsill {
 
@@ -22,6 +23,8 @@
     double cachedTokens = 0;
     /// Share of recent attempts that failed, 0 to 1.
     double failureShare = 0;
+    /// Whether it is one of those that requests of this kind go to first.
+    bool preferred = true;
     /// Whether it is in the availability zone of this instance.
     bool sameZone = false;
 };
@@ -35,8 +38,6 @@
     double runningMs = 0.5;
     /// Time that a request waits for each one before it when all slots are taken, in milliseconds.
     double waitMs = 30;
-    /// Longest predicted time to the first token with which a request stays where its shared part lies.
-    double patienceMs = 500;
 };
 
 /// Which upstream takes a request, and when its answer is expected to begin.
@@ -48,6 +49,11 @@
     double unreadTokens = 0;
 };
 
+/// Marks the upstreams that pause-sensitive streams go to first: about `share` of them, at least two. The others read the
+/// long prompts, which would pause those streams. The order is a hash of the ids, so that instances with equal views
+/// mark the same ones, and the loss of one moves few. Marks none when there are fewer than four.
+[[nodiscard]] std::vector<bool> markForSensitive(std::span<const std::string_view> upstreams, double share);
+
 /// Chooses the upstream at which the first token is expected soonest. Reading shared parts again at an
 /// upstream that doesn't hold them counts more than its time, because it also delays all others there; so
 /// each shared part stays at the upstream that ranks first for it by rendezvous hash until that one is
--- a/include/chestnutsill/policy/upstreamload.h
+++ b/include/chestnutsill/policy/upstreamload.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -64,17 +65,34 @@
     std::map<std::string, PeerLoad, std::less<>> m_peers;
 };
 
-/// Which prompt parts an upstream is likely to hold, from the work sent there, least recently used first out.
+/// Shared prompt parts that an instance has had read at an upstream, as it tells its peers.
+struct PartCopy
+{
+    /// Hash of the upstream's id.
+    std::uint64_t upstream = 0;
+    std::vector<PromptPart> parts;
+};
+
+/// Which prompt parts an upstream is likely to hold, from the work of all instances, least recently used first out.
 /// Not thread-safe.
 class PartCache
 {
 public:
+    /// Heartbeats that carry each copy, since single ones get lost.
+    static constexpr int TimesTold = 3;
+
     /// Tokens at the start of a prompt that the upstream needn't read again.
     [[nodiscard]] double cachedTokens(std::string_view upstream, const Prompt &prompt) const;
 
-    /// Records that an upstream has read a prompt; `capacity` is its memory in tokens.
+    /// Records that this instance lets an upstream read a prompt; `capacity` is its memory in tokens.
     void store(std::string_view upstream, const Prompt &prompt, std::uint64_t capacity);
 
+    /// Takes what a peer has had read.
+    void hear(const PartCopy &copy);
+
+    /// Shared parts that this instance has had read lately, for the next heartbeat.
+    [[nodiscard]] std::vector<PartCopy> news();
+
     /// Forgets an upstream, which has lost its memory.
     void forget(std::string_view upstream);
 
@@ -85,9 +103,20 @@
         std::list<PromptPart> order;
         std::unordered_map<std::uint64_t, std::list<PromptPart>::iterator> byId;
         std::uint64_t tokens = 0;
+        std::uint64_t capacity = 0;
     };
 
-    std::map<std::string, Holding, std::less<>> m_holdings;
+    struct Untold
+    {
+        PartCopy copy;
+        int timesLeft = TimesTold;
+    };
+
+    static void put(Holding &holding, std::span<const PromptPart> parts);
+
+    /// By hash of the upstream's id.
+    std::unordered_map<std::uint64_t, Holding> m_holdings;
+    std::vector<Untold> m_untold;
 };
 
 } // namespace chestnutsill
--- a/src/daemon/fleetlink.cpp
+++ b/src/daemon/fleetlink.cpp
@@ -70,6 +70,8 @@
     for (const InstanceNews &news : beat.others)
         m_state.fleet.hear(news, time);
     m_state.loads.hear(beat.self.name, beat.loads, time);
+    for (const PartCopy &copy : beat.copies)
+        m_state.parts.hear(copy);
     m_heard[beat.self.incarnation] = {beat.sentAt, time};
     const auto &table = m_state.catalog.table();
     const std::uint64_t ownVersion = table ? table->version : 0;
@@ -101,6 +103,7 @@
     if (const auto age = m_state.freshness.age(time))
         beat.confirmedAge = std::chrono::ceil<milliseconds>(*age);
     beat.loads = m_state.loads.own();
+    beat.copies = m_state.parts.news();
     beat.sentAt = time;
     std::erase_if(m_heard, [&](const auto &item) { return time - item.second.arrivedAt > Fleet::DeadAfter; });
     for (const auto &[incarnation, heard] : m_heard)
--- a/src/peer/fleet.capnp
+++ b/src/peer/fleet.capnp
@@ -20,6 +20,17 @@
   unreadTokens @2 :Float32;
 }
 
+struct PromptPart {
+  id @0 :UInt64;
+  tokens @1 :UInt32;
+}
+
+struct PartCopy {
+  # Hash of the upstream's id.
+  upstream @0 :UInt64;
+  parts @1 :List(PromptPart);
+}
+
 struct Echo {
   # Incarnation of the instance whose heartbeat is echoed.
   incarnation @0 :UInt64;
@@ -40,4 +51,5 @@
   # Microseconds by the sender's clock.
   sentAt @5 :Int64;
   echoes @6 :List(Echo);
+  copies @7 :List(PartCopy);
 }
--- a/src/peer/fleetbeat.cpp
+++ b/src/peer/fleetbeat.cpp
@@ -43,6 +43,25 @@
             milliseconds(in.getAgeMs())};
 }
 
+void write(wire::PartCopy::Builder out, const PartCopy &copy)
+{
+    out.setUpstream(copy.upstream);
+    auto parts = out.initParts(static_cast<unsigned>(copy.parts.size()));
+    for (unsigned i = 0; i < parts.size(); ++i) {
+        parts[i].setId(copy.parts[i].id);
+        parts[i].setTokens(copy.parts[i].tokens);
+    }
+}
+
+PartCopy read(wire::PartCopy::Reader in)
+{
+    PartCopy copy;
+    copy.upstream = in.getUpstream();
+    for (const auto part : in.getParts())
+        copy.parts.push_back({part.getId(), part.getTokens()});
+    return copy;
+}
+
 } // namespace
 
 std::string encodeBeat(const FleetBeat &beat)
@@ -69,6 +88,9 @@
         echoes[i].setSentAt(beat.echoes[i].sentAt.count());
         echoes[i].setHeld(beat.echoes[i].held.count());
     }
+    auto copies = root.initCopies(static_cast<unsigned>(beat.copies.size()));
+    for (unsigned i = 0; i < copies.size(); ++i)
+        write(copies[i], beat.copies[i]);
     kj::VectorOutputStream bytes;
     capnp::writePackedMessage(bytes, message);
     const auto array = bytes.getArray();
--- a/src/peer/impl/fleet.capnp.h
+++ b/src/peer/impl/fleet.capnp.h
@@ -18,6 +18,8 @@
 
 CAPNP_DECLARE_SCHEMA(ae9ca39a2c277aa3);
 CAPNP_DECLARE_SCHEMA(8b9601b9fd46ecf4);
+CAPNP_DECLARE_SCHEMA(b59b3760a7671e01);
+CAPNP_DECLARE_SCHEMA(8322df74489ebdbb);
 CAPNP_DECLARE_SCHEMA(e92942e2dd89a25b);
 CAPNP_DECLARE_SCHEMA(81ae289e0deadabe);
 
@@ -57,6 +59,36 @@
   };
 };
 
+struct PromptPart {
+  PromptPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b59b3760a7671e01, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartCopy {
+  PartCopy() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8322df74489ebdbb, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Echo {
   Echo() = delete;
 
@@ -80,7 +112,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -301,6 +333,173 @@
 };
 #endif  // !CAPNP_LITE
 
+class PromptPart::Reader {
+public:
+  typedef PromptPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint32_t getTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PromptPart::Builder {
+public:
+  typedef PromptPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PromptPart::Pipeline {
+public:
+  typedef PromptPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PartCopy::Reader {
+public:
+  typedef PartCopy Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartCopy::Builder {
+public:
+  typedef PartCopy Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>> disownParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartCopy::Pipeline {
+public:
+  typedef PartCopy Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Echo::Reader {
 public:
   typedef Echo Reads;
@@ -422,6 +621,9 @@
   inline bool hasEchoes() const;
   inline  ::capnp::List< ::chestnutsill::wire::Echo,  ::capnp::Kind::STRUCT>::Reader getEchoes() const;
 
+  inline bool hasCopies() const;
+  inline  ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>::Reader getCopies() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -487,6 +689,13 @@
   inline void adoptEchoes(::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::Echo,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::Echo,  ::capnp::Kind::STRUCT>> disownEchoes();
 
+  inline bool hasCopies();
+  inline  ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>::Builder getCopies();
+  inline void setCopies( ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>::Builder initCopies(unsigned int size);
+  inline void adoptCopies(::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>> disownCopies();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -736,6 +945,82 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PromptPart::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromptPart::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PromptPart::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PromptPart::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PromptPart::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PromptPart::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PartCopy::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PartCopy::Builder::getUpstream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PartCopy::Builder::setUpstream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PartCopy::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PartCopy::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PartCopy::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PartCopy::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PartCopy::Builder::setParts( ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PartCopy::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PartCopy::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>> PartCopy::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Echo::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -961,6 +1246,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool FleetBeat::Reader::hasCopies() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasCopies() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>::Reader FleetBeat::Reader::getCopies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>::Builder FleetBeat::Builder::getCopies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::setCopies( ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>::Builder FleetBeat::Builder::initCopies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void FleetBeat::Builder::adoptCopies(
+    ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>> FleetBeat::Builder::disownCopies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -3,6 +3,7 @@
 #include "chestnutsill/policy/hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,8 @@
 /// What another availability zone counts as, in milliseconds; breaks ties in favour of traffic that stays
 /// near.
 constexpr double OtherZoneMs = 2;
+/// What an upstream that is kept for requests of another kind counts as, in milliseconds.
+constexpr double NotPreferredMs = 150;
 /// Width of the random part of a cost, in milliseconds, so that instances with the same view don't all choose
 /// alike.
 constexpr double JitterMs = 1;
@@ -40,6 +43,8 @@
     std::optional<std::size_t> best;
     std::uint64_t bestRank = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (!candidates[i].preferred)
+            continue;
         const std::uint64_t rank = stableHash(candidates[i].upstream, part);
         if (!best || rank > bestRank) {
             bestRank = rank;
@@ -75,12 +80,30 @@
     result.firstTokenMs = waitMs + readMs;
     const double harmMs = readMs * candidate.running * PauseWeight;
     result.cost = waitMs + readMs * rereadWeight + harmMs + candidate.failureShare * FailureMs
-                  + (candidate.sameZone ? 0 : OtherZoneMs) + jitter(candidate.upstream, seed);
+                  + (candidate.sameZone ? 0 : OtherZoneMs) + (candidate.preferred ? 0 : NotPreferredMs) + jitter(candidate.upstream, seed);
     return result;
 }
 
 } // namespace
 
+std::vector<bool> markForSensitive(std::span<const std::string_view> upstreams, double share)
+{
+    constexpr std::size_t FewestToDivide = 4;
+    constexpr std::size_t FewestMarked = 2;
+    std::vector<bool> marks(upstreams.size(), false);
+    if (upstreams.size() < FewestToDivide)
+        return marks;
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    for (std::size_t i = 0; i < upstreams.size(); ++i)
+        order.emplace_back(stableHash(upstreams[i]), i);
+    std::sort(order.begin(), order.end());
+    const auto wanted = static_cast<std::size_t>(std::lround(share * static_cast<double>(upstreams.size())));
+    const std::size_t count = std::clamp(wanted, FewestMarked, upstreams.size() / 2);
+    for (std::size_t i = 0; i < count; ++i)
+        marks[order[i].second] = true;
+    return marks;
+}
+
 std::optional<Placement> place(std::span<const PlacingCandidate> candidates, const Prompt &prompt,
                                const PlacingSpeed &speed, std::uint64_t seed)
 {
--- a/src/policy/upstreamload.cpp
+++ b/src/policy/upstreamload.cpp
@@ -62,7 +62,7 @@
 
 double PartCache::cachedTokens(std::string_view upstream, const Prompt &prompt) const
 {
-    const auto found = m_holdings.find(upstream);
+    const auto found = m_holdings.find(stableHash(upstream));
     if (found == m_holdings.end())
         return 0;
     double tokens = 0;
@@ -74,11 +74,10 @@
     return tokens;
 }
 
-void PartCache::store(std::string_view upstream, const Prompt &prompt, std::uint64_t capacity)
+void PartCache::put(Holding &holding, std::span<const PromptPart> parts)
 {
-    Holding &holding = m_holdings[std::string(upstream)];
     // From the last part to the first, since a part is of no use once one before it has gone.
-    for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part) {
+    for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
         if (const auto known = holding.byId.find(part->id); known != holding.byId.end()) {
             holding.order.splice(holding.order.end(), holding.order, known->second);
             continue;
@@ -86,17 +85,42 @@
         holding.byId[part->id] = holding.order.insert(holding.order.end(), *part);
         holding.tokens += part->tokens;
     }
-    while (holding.tokens > capacity && !holding.order.empty()) {
+    while (holding.capacity > 0 && holding.tokens > holding.capacity && !holding.order.empty()) {
         holding.tokens -= holding.order.front().tokens;
         holding.byId.erase(holding.order.front().id);
         holding.order.pop_front();
     }
 }
 
+void PartCache::store(std::string_view upstream, const Prompt &prompt, std::uint64_t capacity)
+{
+    const std::uint64_t hash = stableHash(upstream);
+    Holding &holding = m_holdings[hash];
+    holding.capacity = capacity;
+    put(holding, prompt.parts);
+    if (prompt.parts.size() >= 2)
+        m_untold.push_back({{hash, {prompt.parts.begin(), std::prev(prompt.parts.end())}}});
+}
+
+void PartCache::hear(const PartCopy &copy)
+{
+    put(m_holdings[copy.upstream], copy.parts);
+}
+
+std::vector<PartCopy> PartCache::news()
+{
+    std::vector<PartCopy> copies;
+    for (Untold &untold : m_untold) {
+        copies.push_back(untold.copy);
+        --untold.timesLeft;
+    }
+    std::erase_if(m_untold, [](const Untold &untold) { return untold.timesLeft <= 0; });
+    return copies;
+}
+
 void PartCache::forget(std::string_view upstream)
 {
-    if (const auto found = m_holdings.find(upstream); found != m_holdings.end())
-        m_holdings.erase(found);
+    m_holdings.erase(stableHash(upstream));
 }
 
 } // namespace chestnutsill
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -24,8 +24,10 @@
 constexpr int LowestEngineRank = 9;
 /// Pause after which callers that were refused for want of something short-lived may return.
 constexpr milliseconds ShortPause{250};
-/// Part of the target for the first token that may be spent to stay where the shared part of a prompt lies.
-constexpr double PatiencePart = 0.4;
+/// Part of the upstreams that pause-sensitive streams go to first.
+constexpr double SensitiveShare = 0.25;
+/// A route is pause-sensitive when its longest pause on time is under this many times the shortest of its service.
+constexpr double SensitiveRatio = 1.5;
 /// Timers may fire this much before the end that they were set for.
 constexpr milliseconds EndSlack{5};
 constexpr int FirstServerError = 500;
@@ -52,6 +54,33 @@
     return route.kind == RouteKind::Idempotent || (route.kind == RouteKind::Streaming && route.resumable);
 }
 
+/// Whether the streams of a route bear no longer pauses than those of any other route of the service.
+bool isPauseSensitive(const RoutedCall &call)
+{
+    milliseconds shortest = milliseconds::max();
+    for (const Route &route : call.table->routes) {
+        const bool sameService = std::any_of(route.services.begin(), route.services.end(),
+                                             [&](const auto &part) { return part.service == call.serviceName; });
+        if (sameService && route.pauseTarget > milliseconds(0))
+            shortest = std::min(shortest, route.pauseTarget);
+    }
+    return static_cast<double>(call.route->pauseTarget.count()) < SensitiveRatio * static_cast<double>(shortest.count());
+}
+
+/// Keeps pause-sensitive streams and long prompts apart while there is room.
+void preferByPause(const RoutedCall &call, std::vector<PlacingCandidate> &candidates)
+{
+    if (call.service == nullptr || !call.service->engine)
+        return;
+    std::vector<std::string_view> ids;
+    for (const PlacingCandidate &candidate : candidates)
+        ids.push_back(candidate.upstream);
+    const auto marks = markForSensitive(ids, SensitiveShare);
+    const bool sensitive = isPauseSensitive(call);
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        candidates[i].preferred = marks[i] == sensitive;
+}
+
 void setFailed(RoutedAttempt &attempt, AttemptResult result, std::string reason)
 {
     attempt.result = result;
@@ -201,8 +230,8 @@
                               .failureShare = m_state.judge.failureShare(id, time),
                               .sameZone = record->entry.zone == m_settings.zone});
     }
-    PlacingSpeed speed;
-    speed.patienceMs = PatiencePart * static_cast<double>(call.route->target.count());
+    preferByPause(call, candidates);
+    const PlacingSpeed speed;
     while (!candidates.empty()) {
         const auto placement = place(candidates, call.request.prompt, speed, stableHash(call.request.attemptId));
         const UpstreamRecord &record = *records[placement->candidate];
