Weigh reading shared parts again at 1.5 times its time, now that copies are known

Cause: at weight 2.5 a request stayed at the home of its shared part up to 800 ms of queue; the fullest engine had 1.78 times the mean, where long answers are made so slowly that they miss their deadline.

--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// How much reading a shared part at another upstream counts against its time alone.
-constexpr double RereadWeight = 2.5;
+constexpr double RereadWeight = 1.5;
 /// How much each millisecond of reading counts for every running request, whose next token it delays.
 constexpr double PauseWeight = 0.05;
 /// What a share of failures of 1 counts as, in milliseconds: more than any queue that is worth waiting for.
