--- a/include/chestnutsill/observe/log.h
+++ b/include/chestnutsill/observe/log.h
@@ -18,7 +18,8 @@
     std::variant<std::string, std::int64_t, double, bool> value;
 };
 
-/// Writes log lines as JSON objects to standard error, one a line, from `minimum` up. Call once at start.
+/// Writes log lines as JSON objects to standard output, one a line, from `minimum` up. Call once at start. A
+/// line that can't be written at once is dropped and counted.
 void setUpLog(std::string_view instance, LogLevel minimum);
 
 /// Writes one line with time, level, instance, event and fields. Safe from any thread.
--- a/include/chestnutsill/peer/fleetbeat.h
+++ b/include/chestnutsill/peer/fleetbeat.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutsill/policy/crashbook.h"
 #include "chestnutsill/policy/fleet.h"
 #include "chestnutsill/policy/upstreamload.h"
 
@@ -37,6 +38,9 @@
     Instant sentAt{};
     std::vector<BeatEcho> echoes;
     std::vector<PartCopy> copies;
+    std::vector<CrashNews> crashes;
+    /// Fingerprints of requests that were suspected of a crash and have completed.
+    std::vector<std::uint64_t> cleared;
 };
 
 /// The bytes of a heartbeat.
--- /dev/null
+++ b/include/chestnutsill/policy/crashbook.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "chestnutsill/policy/instant.h"
+#include "chestnutsill/policy/suspects.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chestnutsill {
+
+/// One crash of an upstream as an instance tells it to its peers.
+struct CrashNews
+{
+    /// Hash that names the incarnation of the upstream that crashed.
+    std::uint64_t incarnation = 0;
+    /// Fingerprints of the requests that were running there for this instance.
+    std::vector<std::uint64_t> fingerprints;
+};
+
+/// Finds requests that crash the upstreams that run them. Every request that was running at a crash gets a
+/// strike; one that completes is cleared, here and at the peers. Not thread-safe.
+class CrashBook
+{
+public:
+    /// Strikes from which on a request is no longer sent to any upstream.
+    static constexpr int MostStrikes = 3;
+    /// Time between the end of a connection and the proof that its upstream has crashed.
+    static constexpr milliseconds ProofTime{1500};
+    /// Heartbeats that carry each piece of news, since single ones get lost.
+    static constexpr int TimesTold = 5;
+
+    /// Records that a request is sent to an upstream.
+    void begin(std::string_view upstream, std::uint64_t fingerprint);
+
+    /// Records that its attempt has ended, and whether its connection broke.
+    void end(std::string_view upstream, std::uint64_t fingerprint, bool broke, Instant now);
+
+    /// Records that an upstream has crashed. Returns the number of requests that were running there.
+    std::size_t crashed(std::string_view upstream, std::string_view incarnation, Instant now);
+
+    /// Records that a request has completed; returns whether it was suspected.
+    bool completed(std::uint64_t fingerprint);
+
+    /// Take what a peer tells.
+    void hear(const CrashNews &news, Instant now);
+    void hearCleared(std::uint64_t fingerprint) { m_suspects.clear(fingerprint); }
+
+    /// Number of crashes in which a request was running and after which it has not completed.
+    [[nodiscard]] int strikes(std::uint64_t fingerprint, Instant now)
+    {
+        return m_suspects.strikes(fingerprint, now);
+    }
+
+    /// News for the next heartbeat.
+    [[nodiscard]] std::vector<CrashNews> news();
+    [[nodiscard]] std::vector<std::uint64_t> clearedNews();
+
+private:
+    struct Broken
+    {
+        std::uint64_t fingerprint = 0;
+        Instant at{};
+    };
+
+    struct AtUpstream
+    {
+        std::vector<std::uint64_t> running;
+        std::vector<Broken> broken;
+    };
+
+    template<typename News>
+    struct Untold
+    {
+        News news;
+        int timesLeft = TimesTold;
+    };
+
+    Suspects m_suspects;
+    std::map<std::string, AtUpstream, std::less<>> m_upstreams;
+    std::vector<Untold<CrashNews>> m_news;
+    std::vector<Untold<std::uint64_t>> m_cleared;
+};
+
+} // namespace chestnutsill
--- a/include/chestnutsill/policy/placing.h
+++ b/include/chestnutsill/policy/placing.h
@@ -49,9 +49,10 @@
     double unreadTokens = 0;
 };
 
-/// Marks the upstreams that pause-sensitive streams go to first: about `share` of them, at least two. The others read the
-/// long prompts, which would pause those streams. The order is a hash of the ids, so that instances with equal views
-/// mark the same ones, and the loss of one moves few. Marks none when there are fewer than four.
+/// Marks the upstreams that pause-sensitive streams go to first: about `share` of them, at least two. The
+/// others read the long prompts, which would pause those streams. The order is a hash of the ids, so that
+/// instances with equal views mark the same ones, and the loss of one moves few. Marks none when there are
+/// fewer than four.
 [[nodiscard]] std::vector<bool> markForSensitive(std::span<const std::string_view> upstreams, double share);
 
 /// Chooses the upstream at which the first token is expected soonest. Reading shared parts again at an
--- a/include/chestnutsill/policy/upstreamload.h
+++ b/include/chestnutsill/policy/upstreamload.h
@@ -73,8 +73,8 @@
     std::vector<PromptPart> parts;
 };
 
-/// Which prompt parts an upstream is likely to hold, from the work of all instances, least recently used first out.
-/// Not thread-safe.
+/// Which prompt parts an upstream is likely to hold, from the work of all instances, least recently used
+/// first out. Not thread-safe.
 class PartCache
 {
 public:
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -6,6 +6,7 @@
 #include "chestnutsill/policy/answer.h"
 #include "chestnutsill/policy/catalog.h"
 #include "chestnutsill/policy/coldshare.h"
+#include "chestnutsill/policy/crashbook.h"
 #include "chestnutsill/policy/fleet.h"
 #include "chestnutsill/policy/freshness.h"
 #include "chestnutsill/policy/placing.h"
@@ -15,6 +16,7 @@
 #include "chestnutsill/router/interface.h"
 
 #include <optional>
+#include <set>
 #include <string>
 
 namespace chestnutsill {
@@ -46,6 +48,7 @@
     UpstreamJudge judge;
     RepeatBudget repeats;
     ColdShare cold;
+    CrashBook crashes;
     ConnectionPool connections;
     Metrics metrics;
     /// Whether this instance is about to stop, so that callers are asked to go elsewhere.
@@ -65,6 +68,9 @@
 public:
     Router(RouterSettings settings, WireInterface wire, RouterState &state);
 
+    /// Takes settings that have changed.
+    void setSettings(RouterSettings settings) { m_settings = std::move(settings); }
+
     /// Serves one request of a caller.
     void handle(Exchange &exchange, const Fiber &fiber);
 
@@ -79,7 +85,9 @@
     void relayEvents(RoutedCall &call, RoutedAttempt &attempt, const HttpHead &head, const Fiber &fiber);
     [[nodiscard]] bool mayRepeat(RoutedCall &call, const RoutedAttempt &attempt);
     [[nodiscard]] bool mayStart(const RoutedCall &call, const RoutedAttempt &attempt) const;
-    void finishAttempt(RoutedCall &call, const RoutedAttempt &attempt);
+    void finishAttempt(RoutedCall &call, const RoutedAttempt &attempt, const Fiber &fiber);
+    void noteUnreachable(const std::string &upstream);
+    void probe(const std::string &upstream, const std::string &address, const Fiber &fiber);
     void respond(RoutedCall &call, const Answer &answer, const Fiber &fiber) const;
     void account(const RoutedCall &call, const std::optional<Answer> &answer);
     [[nodiscard]] bool isKeyFresh() const;
@@ -88,6 +96,8 @@
     RouterSettings m_settings;
     WireInterface m_wire;
     RouterState &m_state;
+    /// Upstreams that are being probed.
+    std::set<std::string, std::less<>> m_probing;
 };
 
 } // namespace chestnutsill
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -18,7 +18,7 @@
 trap 'stop_all; rm -rf "$work"' EXIT
 
 start() {
-    "$@" 2>>"$work/log" &
+    "$@" >>"$work/log" 2>&1 &
     started+=("$!")
 }
 
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -5,6 +5,7 @@
 #include "chestnutsill/observe/log.h"
 #include "daemon/fleetlink.h"
 #include "daemon/identity.h"
+#include "daemon/statetext.h"
 #include "daemon/storewatch.h"
 #include "platform/published.h"
 #include "platform/wire.h"
@@ -33,7 +34,11 @@
 constexpr milliseconds DrainPoll{50};
 constexpr milliseconds HousekeepingPeriod{250};
 constexpr milliseconds TableTimeout{1000};
+/// Housekeeping periods between two looks at the settings file.
+constexpr int SettingsTurns = 4;
 constexpr std::string_view TablePath = "/table";
+constexpr std::string_view MetricsPath = "/metrics";
+constexpr std::string_view StatePath = "/state";
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
@@ -60,6 +65,14 @@
     return addresses;
 }
 
+/// The contents of a file; empty when it can't be read.
+std::string settingsText(const std::string &path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
 milliseconds partOf(milliseconds time, double part)
 {
     return milliseconds(static_cast<milliseconds::rep>(static_cast<double>(time.count()) * part));
@@ -70,9 +83,10 @@
 class EntryNode::Impl
 {
 public:
-    Impl(const platform::ProcessSettings &settings, std::string settingsPath)
+    Impl(const platform::ProcessSettings &settings, std::string settingsPath, int metricsPort)
         : m_settings(settings)
         , m_settingsPath(std::move(settingsPath))
+        , m_settingsText(settingsText(m_settingsPath))
         , m_incarnation(randomNumber())
         , m_io(1)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
@@ -92,6 +106,8 @@
                       [this](Exchange &exchange, const Fiber &fiber) { answerDirectory(exchange, fiber); })
         , m_peers(m_io, peerAddress(settings.ip, settings), HttpLimits{},
                   [this](Exchange &exchange, const Fiber &fiber) { answerPeer(exchange, fiber); })
+        , m_operators(m_io, settings.ip + ':' + std::to_string(metricsPort), HttpLimits{},
+                      [this](Exchange &exchange, const Fiber &fiber) { answerOperator(exchange, fiber); })
     {}
 
     void run()
@@ -201,12 +217,26 @@
         exchange.respond(known ? StatusOk : StatusNotFound, "application/json", text, {}, fiber);
     }
 
+    void answerOperator(Exchange &exchange, const Fiber &fiber) const
+    {
+        const HttpRequest &request = exchange.request();
+        if (!request.fault && request.target == MetricsPath)
+            exchange.respond(StatusOk, "text/plain; version=0.0.4", m_state.metrics.exposition(), {}, fiber);
+        else if (!request.fault && request.target == StatePath)
+            exchange.respond(StatusOk, "application/json", stateText(m_state, now()), {}, fiber);
+        else
+            exchange.respond(StatusNotFound, "application/json", "{}", {}, fiber);
+    }
+
     void keepHouse(const Fiber &fiber)
     {
-        for (;;) {
+        for (int turn = 1;; ++turn) {
             sleepFor(HousekeepingPeriod, fiber);
             m_state.catalog.expire(now());
             m_state.connections.expire(now());
+            // The settings may change without a signal.
+            if (turn % SettingsTurns == 0 && settingsText(m_settingsPath) != m_settingsText)
+                reload();
         }
     }
 
@@ -226,9 +256,17 @@
     void reload()
     {
         Faults faults;
-        const auto settings = readSettingsFile(m_settingsPath, faults);
+        m_settingsText = settingsText(m_settingsPath);
+        const auto settings = platform::parseSettings(m_settingsText, faults);
         log(settings ? LogLevel::Info : LogLevel::Error, "settings-read-again",
             {{"reason", faults.empty() ? std::string() : faults[0].path + ' ' + faults[0].message}});
+        if (!settings)
+            return;
+        // Addresses that are listened on stay as they were until the next start.
+        m_settings.bounds = settings->bounds;
+        m_settings.seedIps = settings->seedIps;
+        m_router.setSettings(routerSettings(m_settings));
+        m_fleet.setSeeds(seedAddresses(m_settings));
     }
 
     void leave(const Fiber &fiber)
@@ -247,8 +285,10 @@
         m_io.stop();
     }
 
-    const platform::ProcessSettings m_settings;
+    platform::ProcessSettings m_settings;
     const std::string m_settingsPath;
+    /// The settings file as it was last read.
+    std::string m_settingsText;
     const std::uint64_t m_incarnation;
     boost::asio::io_context m_io;
     boost::asio::signal_set m_signals;
@@ -260,13 +300,14 @@
     HttpServer m_readiness;
     HttpServer m_directory;
     HttpServer m_peers;
+    HttpServer m_operators;
     /// The table in force as published, for peers.
     std::string m_tableText;
     bool m_fetching = false;
 };
 
-EntryNode::EntryNode(const platform::ProcessSettings &settings, std::string settingsPath)
-    : m_impl(std::make_unique<Impl>(settings, std::move(settingsPath)))
+EntryNode::EntryNode(const platform::ProcessSettings &settings, std::string settingsPath, int metricsPort)
+    : m_impl(std::make_unique<Impl>(settings, std::move(settingsPath), metricsPort))
 {}
 
 EntryNode::~EntryNode() = default;
@@ -278,14 +319,12 @@
 
 std::optional<platform::ProcessSettings> readSettingsFile(const std::string &path, Faults &faults)
 {
-    std::ifstream file(path);
-    if (!file) {
+    const std::string text = settingsText(path);
+    if (text.empty()) {
         faults.push_back({"$", "can't be read from " + path});
         return std::nullopt;
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return platform::parseSettings(text.str(), faults);
+    return platform::parseSettings(text, faults);
 }
 
 } // namespace chestnutsill
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -3,6 +3,7 @@
 #include "platform/settings.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace chestnutsill {
@@ -14,8 +15,8 @@
 {
 public:
     /// Starts listening. `settingsPath` is read again when it changes. Throws `std::runtime_error` when an
-    /// address can't be listened on.
-    EntryNode(const platform::ProcessSettings &settings, std::string settingsPath);
+    /// address can't be listened on. Metrics and the state are served on `metricsPort`.
+    EntryNode(const platform::ProcessSettings &settings, std::string settingsPath, int metricsPort);
     ~EntryNode();
 
     EntryNode(const EntryNode &) = delete;
--- a/src/daemon/fleetlink.cpp
+++ b/src/daemon/fleetlink.cpp
@@ -72,6 +72,10 @@
     m_state.loads.hear(beat.self.name, beat.loads, time);
     for (const PartCopy &copy : beat.copies)
         m_state.parts.hear(copy);
+    for (const CrashNews &crash : beat.crashes)
+        m_state.crashes.hear(crash, time);
+    for (const std::uint64_t fingerprint : beat.cleared)
+        m_state.crashes.hearCleared(fingerprint);
     m_heard[beat.self.incarnation] = {beat.sentAt, time};
     const auto &table = m_state.catalog.table();
     const std::uint64_t ownVersion = table ? table->version : 0;
@@ -104,6 +108,8 @@
         beat.confirmedAge = std::chrono::ceil<milliseconds>(*age);
     beat.loads = m_state.loads.own();
     beat.copies = m_state.parts.news();
+    beat.crashes = m_state.crashes.news();
+    beat.cleared = m_state.crashes.clearedNews();
     beat.sentAt = time;
     std::erase_if(m_heard, [&](const auto &item) { return time - item.second.arrivedAt > Fleet::DeadAfter; });
     for (const auto &[incarnation, heard] : m_heard)
--- a/src/daemon/fleetlink.h
+++ b/src/daemon/fleetlink.h
@@ -32,6 +32,9 @@
     /// Sends heartbeats until the process ends.
     void run(const Fiber &fiber);
 
+    /// Replaces the addresses to try while no other instance is known.
+    void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
+
     /// Sends one heartbeat now.
     void beat();
 
--- a/src/daemon/main/main.cpp
+++ b/src/daemon/main/main.cpp
@@ -24,16 +24,22 @@
     return name == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
-int runOnPlatform(const std::string &settingsPath)
+int runOnPlatform(const std::string &settingsPath, std::span<const char *const> arguments)
 {
+    const auto flags = chestnutsill::readPlatformFlags(arguments);
+    std::cout << flags.output;
+    for (const std::string &fault : flags.faults)
+        std::cerr << "chestnutsilld: " << fault << '\n';
+    if (!flags.flags)
+        return flags.faults.empty() ? 0 : ExitBadSettings;
     chestnutsill::Faults faults;
     const auto settings = chestnutsill::readSettingsFile(settingsPath, faults);
     for (const chestnutsill::Fault &fault : faults)
         std::cerr << "chestnutsilld: " << settingsPath << ": " << fault.path << ' ' << fault.message << '\n';
     if (!settings)
         return ExitBadSettings;
-    chestnutsill::setUpLog(settings->instance, chestnutsill::LogLevel::Info);
-    chestnutsill::EntryNode node(*settings, settingsPath);
+    chestnutsill::setUpLog(settings->instance, levelOf(flags.flags->logLevel));
+    chestnutsill::EntryNode node(*settings, settingsPath, flags.flags->metricsPort);
     node.run();
     return 0;
 }
@@ -62,8 +68,8 @@
         std::signal(SIGPIPE, SIG_IGN);
         const std::vector<const char *> arguments(argv + 1, argv + argc);
         const char *platformSettings = std::getenv(PlatformSettingsVariable);
-        if (platformSettings != nullptr && arguments.empty())
-            return runOnPlatform(platformSettings);
+        if (platformSettings != nullptr)
+            return runOnPlatform(platformSettings, arguments);
         return runOwnInterface(arguments);
     } catch (const std::exception &error) {
         std::cerr << "chestnutsilld: " << error.what() << '\n';
--- /dev/null
+++ b/src/daemon/platformflags.cpp
@@ -0,0 +1,54 @@
+#include "daemon/settings.h"
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace chestnutsill {
+
+namespace {
+
+constexpr int MaxPort = 65535;
+constexpr std::array<std::string_view, 4> LogLevels{"debug", "info", "warning", "error"};
+
+} // namespace
+
+PlatformFlagsResult readPlatformFlags(std::span<const char *const> arguments)
+{
+    namespace options = boost::program_options;
+    PlatformFlagsResult result;
+    PlatformFlags flags;
+    options::options_description description(
+        "Flags on the users' platform, whose settings file CHESTNUTSILL_CONFIG names");
+    auto add = description.add_options();
+    add("help", "print this help");
+    add("metrics-port", options::value(&flags.metricsPort),
+        "port for metrics and the state, 1 to 65535 (default 9464)");
+    add("log-level", options::value(&flags.logLevel), "debug, info, warning or error (default info)");
+    options::variables_map values;
+    try {
+        const std::vector<std::string> words(arguments.begin(), arguments.end());
+        options::store(options::command_line_parser(words).options(description).run(), values);
+        options::notify(values);
+    } catch (const options::error &error) {
+        result.faults.emplace_back(error.what());
+        return result;
+    }
+    if (values.count("help") > 0) {
+        std::ostringstream out;
+        out << description;
+        result.output = out.str();
+        return result;
+    }
+    if (flags.metricsPort < 1 || flags.metricsPort > MaxPort)
+        result.faults.emplace_back("--metrics-port must be a whole number from 1 to 65535");
+    if (std::find(LogLevels.begin(), LogLevels.end(), flags.logLevel) == LogLevels.end())
+        result.faults.emplace_back("--log-level must be debug, info, warning or error");
+    if (result.faults.empty())
+        result.flags = flags;
+    return result;
+}
+
+} // namespace chestnutsill
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -30,6 +30,27 @@
     std::string logLevel = "info";
 };
 
+/// Settings of the daemon on the users' platform, beside those that the platform gives.
+struct PlatformFlags
+{
+    /// Port for metrics and the state, at the instance's IP address.
+    int metricsPort = 9464;
+    std::string logLevel = "info";
+};
+
+/// What became of reading the flags.
+struct PlatformFlagsResult
+{
+    std::optional<PlatformFlags> flags;
+    /// Text for `--help`, to be printed before a clean exit.
+    std::string output;
+    /// Everything that is wrong with the flags.
+    std::vector<std::string> faults;
+};
+
+/// Reads the flags for the users' platform.
+[[nodiscard]] PlatformFlagsResult readPlatformFlags(std::span<const char *const> arguments);
+
 /// What became of reading the settings.
 struct SettingsResult
 {
--- /dev/null
+++ b/src/daemon/statetext.cpp
@@ -0,0 +1,68 @@
+#include "daemon/statetext.h"
+
+#include "chestnutsill/router/router.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace chestnutsill {
+
+namespace {
+
+namespace json = boost::json;
+
+double toMs(Instant time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+json::object describe(const UpstreamRecord &record, const RouterState &state, Instant now)
+{
+    const UpstreamEntry &entry = record.entry;
+    const Load load = state.loads.total(entry.id, now);
+    return {{"upstream", entry.id},
+            {"service", entry.service},
+            {"address", entry.address},
+            {"zone", entry.zone},
+            {"usable", state.catalog.mayUse(entry.id)},
+            {"leaving", entry.leaving},
+            {"coldForMs", std::max(0.0, toMs(record.coldUntil - now))},
+            {"leftOut", state.judge.isOut(entry.id, now)},
+            {"failureShare", state.judge.failureShare(entry.id, now)},
+            {"running", load.running},
+            {"unreadTokens", load.unreadTokens}};
+}
+
+json::object describe(const InstanceNews &news)
+{
+    return {{"instance", news.name},
+            {"zone", news.zone},
+            {"callerAddress", news.callerAddress},
+            {"serving", news.serving},
+            {"ageMs", news.age.count()}};
+}
+
+} // namespace
+
+std::string stateText(const RouterState &state, Instant now)
+{
+    const auto &table = state.catalog.table();
+    const auto age = state.freshness.age(now);
+    json::array instances;
+    for (const InstanceNews &news : state.fleet.alive(now))
+        instances.push_back(describe(news));
+    json::array upstreams;
+    for (const auto &[id, record] : state.catalog.upstreams())
+        upstreams.push_back(describe(record, state, now));
+    json::array zones;
+    for (const std::string &zone : state.catalog.zonesOut())
+        zones.emplace_back(zone);
+    json::object document{{"configVersion", table ? table->version : 0}, {"leaving", state.leaving},
+                          {"keptConnections", state.connections.size()}, {"zonesOut", std::move(zones)},
+                          {"instances", std::move(instances)},           {"upstreams", std::move(upstreams)}};
+    document["configAgeMs"] = age ? json::value(toMs(*age)) : json::value(nullptr);
+    return json::serialize(document) + '\n';
+}
+
+} // namespace chestnutsill
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -3,15 +3,18 @@
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/shared_ptr.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <array>
 #include <chrono>
-#include <iostream>
 
 namespace chestnutsill {
 
@@ -40,6 +43,57 @@
     return Names[static_cast<std::size_t>(level)];
 }
 
+/// Most lines a second, and most at once after a quiet time, so that a burst of requests can't drown the
+/// instance in logs.
+constexpr double LinesPerSecond = 500;
+constexpr double LinesAtOnce = 1000;
+/// A pipe that can be written to takes this many bytes without blocking (PIPE_BUF).
+constexpr std::size_t MaxLine = 4096;
+
+/// Writes lines to standard output and never waits for its reader. Lines that can't be written are counted,
+/// and the count is written as soon as there is room.
+class StandardOutputBackend
+    : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding>
+{
+public:
+    void consume(const logging::record_view &, const string_type &line)
+    {
+        refill();
+        if (m_allowance < 1 || !tryWrite(line)) {
+            ++m_dropped;
+            return;
+        }
+        m_allowance -= 1;
+        if (m_dropped > 0
+            && tryWrite(R"({"level":"warning","instance":")" + instanceName()
+                        + R"(","event":"log-lines-dropped","count":)" + std::to_string(m_dropped) + '}'))
+            m_dropped = 0;
+    }
+
+private:
+    void refill()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const double seconds = std::chrono::duration<double>(now - m_refilledAt).count();
+        m_allowance = std::min(m_allowance + seconds * LinesPerSecond, LinesAtOnce);
+        m_refilledAt = now;
+    }
+
+    static bool tryWrite(std::string line)
+    {
+        line.resize(std::min(line.size(), MaxLine - 1));
+        line += '\n';
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
+            return false;
+        return ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+    }
+
+    double m_allowance = LinesAtOnce;
+    std::chrono::steady_clock::time_point m_refilledAt = std::chrono::steady_clock::now();
+    std::uint64_t m_dropped = 0;
+};
+
 std::int64_t unixMilliseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -50,12 +104,9 @@
 
 void setUpLog(std::string_view instance, LogLevel minimum)
 {
-    using Backend = logging::sinks::text_ostream_backend;
     instanceName() = instance;
-    auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend);
+    auto sink = boost::make_shared<logging::sinks::synchronous_sink<StandardOutputBackend>>(
+        boost::make_shared<StandardOutputBackend>());
     sink->set_formatter(logging::expressions::stream << logging::expressions::message);
     sink->set_filter(logging::expressions::attr<int>("Severity") >= static_cast<int>(minimum));
     logging::core::get()->add_sink(sink);
--- a/src/peer/fleet.capnp
+++ b/src/peer/fleet.capnp
@@ -31,6 +31,12 @@
   parts @1 :List(PromptPart);
 }
 
+struct CrashNews {
+  # Hash of the incarnation that crashed.
+  incarnation @0 :UInt64;
+  fingerprints @1 :List(UInt64);
+}
+
 struct Echo {
   # Incarnation of the instance whose heartbeat is echoed.
   incarnation @0 :UInt64;
@@ -52,4 +58,7 @@
   sentAt @5 :Int64;
   echoes @6 :List(Echo);
   copies @7 :List(PartCopy);
+  crashes @8 :List(CrashNews);
+  # Fingerprints of requests that were suspected and have completed.
+  cleared @9 :List(UInt64);
 }
--- a/src/peer/fleetbeat.cpp
+++ b/src/peer/fleetbeat.cpp
@@ -62,6 +62,15 @@
     return copy;
 }
 
+std::vector<std::uint64_t> toNumbers(capnp::List<std::uint64_t>::Reader list)
+{
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(list.size());
+    for (const std::uint64_t number : list)
+        numbers.push_back(number);
+    return numbers;
+}
+
 } // namespace
 
 std::string encodeBeat(const FleetBeat &beat)
@@ -91,6 +100,13 @@
     auto copies = root.initCopies(static_cast<unsigned>(beat.copies.size()));
     for (unsigned i = 0; i < copies.size(); ++i)
         write(copies[i], beat.copies[i]);
+    auto crashes = root.initCrashes(static_cast<unsigned>(beat.crashes.size()));
+    for (unsigned i = 0; i < crashes.size(); ++i) {
+        crashes[i].setIncarnation(beat.crashes[i].incarnation);
+        const auto &fingerprints = beat.crashes[i].fingerprints;
+        crashes[i].setFingerprints({fingerprints.data(), fingerprints.size()});
+    }
+    root.setCleared({beat.cleared.data(), beat.cleared.size()});
     kj::VectorOutputStream bytes;
     capnp::writePackedMessage(bytes, message);
     const auto array = bytes.getArray();
@@ -116,6 +132,12 @@
         for (const auto echo : root.getEchoes())
             beat.echoes.push_back(
                 {echo.getIncarnation(), Instant(echo.getSentAt()), Instant(echo.getHeld())});
+        for (const auto copy : root.getCopies())
+            beat.copies.push_back(read(copy));
+        for (const auto crash : root.getCrashes()) {
+            beat.crashes.push_back({crash.getIncarnation(), toNumbers(crash.getFingerprints())});
+        }
+        beat.cleared = toNumbers(root.getCleared());
     });
     if (failure != nullptr || beat.self.name.empty())
         return std::nullopt;
--- a/src/peer/impl/fleet.capnp.h
+++ b/src/peer/impl/fleet.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(8b9601b9fd46ecf4);
 CAPNP_DECLARE_SCHEMA(b59b3760a7671e01);
 CAPNP_DECLARE_SCHEMA(8322df74489ebdbb);
+CAPNP_DECLARE_SCHEMA(ba60f1077f8ad328);
 CAPNP_DECLARE_SCHEMA(e92942e2dd89a25b);
 CAPNP_DECLARE_SCHEMA(81ae289e0deadabe);
 
@@ -89,6 +90,21 @@
   };
 };
 
+struct CrashNews {
+  CrashNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba60f1077f8ad328, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Echo {
   Echo() = delete;
 
@@ -112,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -500,6 +516,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashNews::Reader {
+public:
+  typedef CrashNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasFingerprints() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getFingerprints() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashNews::Builder {
+public:
+  typedef CrashNews Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasFingerprints();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getFingerprints();
+  inline void setFingerprints( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setFingerprints(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initFingerprints(unsigned int size);
+  inline void adoptFingerprints(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownFingerprints();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashNews::Pipeline {
+public:
+  typedef CrashNews Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Echo::Reader {
 public:
   typedef Echo Reads;
@@ -624,6 +727,12 @@
   inline bool hasCopies() const;
   inline  ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>::Reader getCopies() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasCleared() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCleared() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -696,6 +805,21 @@
   inline void adoptCopies(::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PartCopy,  ::capnp::Kind::STRUCT>> disownCopies();
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasCleared();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCleared();
+  inline void setCleared( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCleared(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCleared(unsigned int size);
+  inline void adoptCleared(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCleared();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1021,6 +1145,58 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CrashNews::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashNews::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashNews::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashNews::Reader::hasFingerprints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashNews::Builder::hasFingerprints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashNews::Reader::getFingerprints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashNews::Builder::getFingerprints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashNews::Builder::setFingerprints( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashNews::Builder::setFingerprints(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashNews::Builder::initFingerprints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashNews::Builder::adoptFingerprints(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashNews::Builder::disownFingerprints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Echo::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1280,6 +1456,78 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool FleetBeat::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>::Reader FleetBeat::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>::Builder FleetBeat::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::setCrashes( ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>::Builder FleetBeat::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void FleetBeat::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>> FleetBeat::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool FleetBeat::Reader::hasCleared() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasCleared() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FleetBeat::Reader::getCleared() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetBeat::Builder::getCleared() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::setCleared( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void FleetBeat::Builder::setCleared(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetBeat::Builder::initCleared(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void FleetBeat::Builder::adoptCleared(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FleetBeat::Builder::disownCleared() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- /dev/null
+++ b/src/policy/crashbook.cpp
@@ -0,0 +1,90 @@
+#include "chestnutsill/policy/crashbook.h"
+
+#include "chestnutsill/policy/hash.h"
+
+#include <algorithm>
+
+namespace chestnutsill {
+
+namespace {
+
+template<typename News>
+auto takeNews(std::vector<News> &untold)
+{
+    std::vector<decltype(News::news)> told;
+    for (News &item : untold) {
+        told.push_back(item.news);
+        --item.timesLeft;
+    }
+    std::erase_if(untold, [](const News &item) { return item.timesLeft <= 0; });
+    return told;
+}
+
+} // namespace
+
+void CrashBook::begin(std::string_view upstream, std::uint64_t fingerprint)
+{
+    m_upstreams[std::string(upstream)].running.push_back(fingerprint);
+}
+
+void CrashBook::end(std::string_view upstream, std::uint64_t fingerprint, bool broke, Instant now)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end())
+        return;
+    auto &[running, broken] = found->second;
+    if (const auto at = std::find(running.begin(), running.end(), fingerprint); at != running.end())
+        running.erase(at);
+    std::erase_if(broken, [&](const Broken &entry) { return now - entry.at > ProofTime; });
+    if (broke)
+        broken.push_back({fingerprint, now});
+    if (running.empty() && broken.empty())
+        m_upstreams.erase(found);
+}
+
+std::size_t CrashBook::crashed(std::string_view upstream, std::string_view incarnation, Instant now)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end())
+        return 0;
+    CrashNews news;
+    news.incarnation = stableHash(incarnation, stableHash(upstream));
+    news.fingerprints = found->second.running;
+    for (const Broken &entry : found->second.broken) {
+        if (now - entry.at <= ProofTime)
+            news.fingerprints.push_back(entry.fingerprint);
+    }
+    found->second.broken.clear();
+    if (news.fingerprints.empty())
+        return 0;
+    hear(news, now);
+    const std::size_t count = news.fingerprints.size();
+    m_news.push_back({std::move(news)});
+    return count;
+}
+
+bool CrashBook::completed(std::uint64_t fingerprint)
+{
+    if (!m_suspects.lastCrash(fingerprint))
+        return false;
+    m_suspects.clear(fingerprint);
+    m_cleared.push_back({fingerprint});
+    return true;
+}
+
+void CrashBook::hear(const CrashNews &news, Instant now)
+{
+    m_suspects.recordCrash({}, std::to_string(news.incarnation), news.fingerprints, now);
+}
+
+std::vector<CrashNews> CrashBook::news()
+{
+    return takeNews(m_news);
+}
+
+std::vector<std::uint64_t> CrashBook::clearedNews()
+{
+    return takeNews(m_cleared);
+}
+
+} // namespace chestnutsill
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -69,7 +69,8 @@
 std::vector<InstanceNews> Fleet::newsToPass(Instant now, std::uint64_t turn) const
 {
     auto known = alive(now);
-    // Where everybody hears everybody, a single piece of news at a time is enough for those who have just come.
+    // Where everybody hears everybody, a single piece of news at a time is enough for those who have just
+    // come.
     const std::size_t count = known.size() <= FanOut ? 1 : MaxNews;
     return rotate(std::move(known), count, turn);
 }
--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -80,7 +80,8 @@
     result.firstTokenMs = waitMs + readMs;
     const double harmMs = readMs * candidate.running * PauseWeight;
     result.cost = waitMs + readMs * rereadWeight + harmMs + candidate.failureShare * FailureMs
-                  + (candidate.sameZone ? 0 : OtherZoneMs) + (candidate.preferred ? 0 : NotPreferredMs) + jitter(candidate.upstream, seed);
+                  + (candidate.sameZone ? 0 : OtherZoneMs) + (candidate.preferred ? 0 : NotPreferredMs)
+                  + jitter(candidate.upstream, seed);
     return result;
 }
 
--- a/src/router/routedcall.h
+++ b/src/router/routedcall.h
@@ -27,6 +27,8 @@
     /// Whether a byte was handed to the network.
     bool sent = false;
     bool firstByteSeen = false;
+    /// Whether the connection ended or was reset before the whole answer.
+    bool broke = false;
     /// Whether another try has been decided on, and paid for from the budget.
     bool repeatGranted = false;
     Verdict verdict = Verdict::NotRun;
@@ -50,6 +52,8 @@
     const ClientAccount *account = nullptr;
     const Service *service = nullptr;
     std::string serviceName;
+    /// Names the request by its content and account, also under another attempt id.
+    std::uint64_t fingerprint = 0;
     Instant arrivedAt{};
     /// When the caller, or the operator for it, stops waiting.
     Instant endBy{};
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -5,6 +5,8 @@
 #include "chestnutsill/policy/hash.h"
 #include "routedcall.h"
 
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 #include <array>
 
@@ -26,10 +28,13 @@
 constexpr milliseconds ShortPause{250};
 /// Part of the upstreams that pause-sensitive streams go to first.
 constexpr double SensitiveShare = 0.25;
-/// A route is pause-sensitive when its longest pause on time is under this many times the shortest of its service.
+/// A route is pause-sensitive when its longest pause on time is under this many times the shortest of its
+/// service.
 constexpr double SensitiveRatio = 1.5;
 /// Timers may fire this much before the end that they were set for.
 constexpr milliseconds EndSlack{5};
+/// How long a connection that was opened to probe an upstream is kept for a request.
+constexpr milliseconds ProbedIdleLife{300};
 constexpr int FirstServerError = 500;
 constexpr int StatusOk = 200;
 
@@ -59,12 +64,14 @@
 {
     milliseconds shortest = milliseconds::max();
     for (const Route &route : call.table->routes) {
-        const bool sameService = std::any_of(route.services.begin(), route.services.end(),
-                                             [&](const auto &part) { return part.service == call.serviceName; });
+        const bool sameService =
+            std::any_of(route.services.begin(), route.services.end(),
+                        [&](const auto &part) { return part.service == call.serviceName; });
         if (sameService && route.pauseTarget > milliseconds(0))
             shortest = std::min(shortest, route.pauseTarget);
     }
-    return static_cast<double>(call.route->pauseTarget.count()) < SensitiveRatio * static_cast<double>(shortest.count());
+    return static_cast<double>(call.route->pauseTarget.count())
+           < SensitiveRatio * static_cast<double>(shortest.count());
 }
 
 /// Keeps pause-sensitive streams and long prompts apart while there is room.
@@ -83,6 +90,7 @@
 
 void setFailed(RoutedAttempt &attempt, AttemptResult result, std::string reason)
 {
+    attempt.broke = result == AttemptResult::Broken && !attempt.client->timedOut();
     attempt.result = result;
     attempt.reason = std::move(reason);
     attempt.verdict = attempt.sent ? Verdict::MayHaveRun : Verdict::NotRun;
@@ -178,7 +186,11 @@
 std::optional<Answer> Router::run(RoutedCall &call, const Fiber &fiber)
 {
     m_state.repeats.earn(call.serviceName, now());
+    call.fingerprint = fingerprintOf(call.account != nullptr ? call.account->name : std::string(),
+                                     call.request.target + '\n' + call.request.body);
     for (;;) {
+        if (m_state.crashes.strikes(call.fingerprint, now()) >= CrashBook::MostStrikes)
+            return notRun("suspected-crash", "upstreams crashed each time that they ran this request");
         RoutedAttempt attempt;
         if (auto refused = choose(call, attempt)) {
             if (call.possibleRuns > 0)
@@ -190,8 +202,9 @@
         m_state.loads.begin(attempt.upstream, attempt.unreadTokens);
         if (isSession && call.service != nullptr && call.service->engine)
             m_state.parts.store(attempt.upstream, call.request.prompt, call.service->engine->cacheTokens);
+        m_state.crashes.begin(attempt.upstream, call.fingerprint);
         send(call, attempt, fiber);
-        finishAttempt(call, attempt);
+        finishAttempt(call, attempt, fiber);
         if (call.callerGone)
             return refusal(502, Verdict::MayHaveRun, "caller-gone", "caller",
                            "the caller has closed its connection");
@@ -233,7 +246,8 @@
     preferByPause(call, candidates);
     const PlacingSpeed speed;
     while (!candidates.empty()) {
-        const auto placement = place(candidates, call.request.prompt, speed, stableHash(call.request.attemptId));
+        const auto placement =
+            place(candidates, call.request.prompt, speed, stableHash(call.request.attemptId));
         const UpstreamRecord &record = *records[placement->candidate];
         const bool isCold =
             time < record.coldUntil && call.service != nullptr && call.service->coldPerSecond > 0;
@@ -427,27 +441,32 @@
         return false;
     if (call.started && call.events.lastId().empty())
         return false;
+    // A request that was running at two crashes may be what crashes upstreams.
+    if (m_state.crashes.strikes(call.fingerprint, now()) + 1 >= CrashBook::MostStrikes)
+        return false;
     // A connection that was not opened is no load on the service.
     return !attempt.sent || m_state.repeats.spend(call.serviceName, m_state.fleet.size(now()), now());
 }
 
-void Router::finishAttempt(RoutedCall &call, const RoutedAttempt &attempt)
+void Router::finishAttempt(RoutedCall &call, const RoutedAttempt &attempt, const Fiber &fiber)
 {
     const Instant time = now();
     if (!attempt.firstByteSeen)
         m_state.loads.read(attempt.upstream, attempt.unreadTokens);
     m_state.loads.end(attempt.upstream);
+    m_state.crashes.end(attempt.upstream, call.fingerprint, attempt.broke && !call.callerGone, time);
     call.active = nullptr;
     if (attempt.sent && attempt.verdict == Verdict::NotRun)
         --call.possibleRuns;
     if (call.callerGone)
         return;
     m_state.judge.record(attempt.upstream, attempt.result, time);
-    if (attempt.result == AttemptResult::Unreachable) {
-        m_state.catalog.suspectRestart(attempt.upstream, time);
-        m_state.parts.forget(attempt.upstream);
-        m_state.connections.close(attempt.upstream);
-    }
+    if (attempt.result == AttemptResult::Served)
+        m_state.crashes.completed(call.fingerprint);
+    if (attempt.result == AttemptResult::Unreachable)
+        noteUnreachable(attempt.upstream);
+    else if (attempt.broke)
+        probe(attempt.upstream, attempt.address, fiber);
     if (attempt.result != AttemptResult::Served) {
         log(LogLevel::Info, "attempt-failed",
             {{"requestId", call.request.attemptId},
@@ -458,6 +477,39 @@
     }
 }
 
+void Router::noteUnreachable(const std::string &upstream)
+{
+    const Instant time = now();
+    m_state.catalog.suspectRestart(upstream, time);
+    m_state.parts.forget(upstream);
+    m_state.connections.close(upstream);
+    const UpstreamRecord *record = m_state.catalog.find(upstream);
+    const std::string incarnation = std::to_string(record != nullptr ? record->entry.bornMs : 0);
+    if (const auto running = m_state.crashes.crashed(upstream, incarnation, time); running > 0)
+        log(LogLevel::Warning, "upstream-crashed",
+            {{"upstream", upstream}, {"running", static_cast<std::int64_t>(running)}});
+}
+
+void Router::probe(const std::string &upstream, const std::string &address, const Fiber &fiber)
+{
+    // A connection that breaks may be the upstream's end or only its own; a new one tells which.
+    if (!m_probing.insert(upstream).second)
+        return;
+    boost::asio::spawn(
+        fiber.get_executor(),
+        [this, upstream, address](const Fiber &probing) {
+            auto client = std::make_unique<HttpClient>();
+            if (client->connect(address, ConnectTimeout, probing)) {
+                m_state.connections.keep(upstream, std::move(client), ProbedIdleLife, now());
+            } else {
+                m_state.judge.record(upstream, AttemptResult::Unreachable, now());
+                noteUnreachable(upstream);
+            }
+            m_probing.erase(upstream);
+        },
+        boost::asio::detached);
+}
+
 void Router::respond(RoutedCall &call, const Answer &answer, const Fiber &fiber) const
 {
     std::vector<HttpField> fields;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -26,6 +26,7 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      0644);
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
     const int error = posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -10,7 +10,7 @@
 class Process
 {
 public:
-    /// Starts a program; its standard error goes to `logFile`.
+    /// Starts a program; its output goes to `logFile`.
     Process(const std::vector<std::string> &command, const std::string &logFile);
     ~Process();
 
