--- a/include/chestnutsill/peer/fleetbeat.h
+++ b/include/chestnutsill/peer/fleetbeat.h
@@ -33,12 +33,18 @@
     std::uint64_t tableVersion = 0;
     /// Age of the confirmation that it is the newest; nothing when there is none.
     std::optional<milliseconds> confirmedAge;
-    std::vector<LoadShare> loads;
+    /// Nothing when the heartbeat says nothing about loads.
+    std::optional<std::vector<LoadShare>> loads;
     /// The sender's clock.
     Instant sentAt{};
     std::vector<BeatEcho> echoes;
     std::vector<PartCopy> copies;
     std::vector<CrashNews> crashes;
+    std::vector<LifeSign> signs;
+    /// Hashes of the names of instances that the sender doesn't know.
+    std::vector<std::uint32_t> wanted;
+    /// Revision of the store up to which the sender has followed it.
+    std::uint64_t revision = 0;
     /// Fingerprints of requests that were suspected of a crash and have completed.
     std::vector<std::uint64_t> cleared;
 };
--- a/include/chestnutsill/policy/catalog.h
+++ b/include/chestnutsill/policy/catalog.h
@@ -3,6 +3,7 @@
 #include "chestnutsill/policy/instant.h"
 #include "chestnutsill/policy/routing.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -86,6 +87,13 @@
     void storeLost() noexcept { m_storeLost = true; }
     void storeRegained(Instant now) noexcept;
 
+    /// Takes that entries may have lapsed in an outage which ended a while ago, so that they are kept for
+    /// this time.
+    void keepLapsedUntil(Instant until) noexcept { m_lapseUntil = std::max(m_lapseUntil, until); }
+
+    /// Until when entries that lapse are kept.
+    [[nodiscard]] Instant lapseUntil() const noexcept { return m_lapseUntil; }
+
     /// Drops upstreams whose entries have lapsed for good.
     void expire(Instant now);
 
--- a/include/chestnutsill/policy/coldshare.h
+++ b/include/chestnutsill/policy/coldshare.h
@@ -17,6 +17,8 @@
 public:
     /// Instances that may send to one cold upstream.
     static constexpr std::size_t Senders = 2;
+    /// Part of what an upstream bears that all senders together use.
+    static constexpr double UsedPart = 0.75;
 
     /// Whether this instance may send one more request to a cold upstream now; counts it if so. `perSecond`
     /// is the rate that the upstream bears from all instances, `instances` the names of the live ones, this
--- a/include/chestnutsill/policy/crashbook.h
+++ b/include/chestnutsill/policy/crashbook.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,9 +45,9 @@
     /// Records that a request has completed; returns whether it was suspected.
     bool completed(std::uint64_t fingerprint);
 
-    /// Take what a peer tells.
-    void hear(const CrashNews &news, Instant now);
-    void hearCleared(std::uint64_t fingerprint) { m_suspects.clear(fingerprint); }
+    /// Take what a peer tells; a hub tells it on if it is new.
+    void hear(const CrashNews &news, Instant now, bool tellOn);
+    void hearCleared(std::uint64_t fingerprint, bool tellOn);
 
     /// Number of crashes in which a request was running and after which it has not completed.
     [[nodiscard]] int strikes(std::uint64_t fingerprint, Instant now)
@@ -78,7 +79,11 @@
         int timesLeft = TimesTold;
     };
 
+    void record(const CrashNews &news, Instant now);
+
     Suspects m_suspects;
+    /// Incarnations whose crash is known.
+    std::set<std::uint64_t> m_seen;
     std::map<std::string, AtUpstream, std::less<>> m_upstreams;
     std::vector<Untold<CrashNews>> m_news;
     std::vector<Untold<std::uint64_t>> m_cleared;
--- a/include/chestnutsill/policy/fleet.h
+++ b/include/chestnutsill/policy/fleet.h
@@ -5,13 +5,16 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace chestnutsill {
 
-/// What one instance tells of itself or of another.
+/// What one instance tells of itself, or passes on of another.
 struct InstanceNews
 {
     std::string name;
@@ -28,32 +31,61 @@
     milliseconds age{};
 };
 
-/// Who else is alive, learnt from heartbeats that pass on the news of others with their age. A state machine
-/// without I/O. Not thread-safe.
+/// A sign of life of an instance that the receiver already knows, in a few bytes.
+struct LifeSign
+{
+    /// Hash of the instance's name.
+    std::uint32_t instance = 0;
+    bool serving = false;
+    milliseconds age{};
+};
+
+/// Who else is alive, learnt from heartbeats that pass on signs of life of all others. A state machine
+/// without I/O. In a small fleet everybody tells everybody. In a large one each tells a few picked at random,
+/// and one hub in each availability zone collects what must be known sooner, so that the cost of an instance
+/// hardly grows with the fleet. Not thread-safe.
 class Fleet
 {
 public:
-    /// Time between the heartbeats of one instance.
+    /// Time between two heartbeats.
     static constexpr milliseconds Period{200};
+    /// Most instances that are told everything directly; a larger fleet is a large one.
+    static constexpr std::size_t MostDirect = 10;
+    /// In a large fleet: instances told by each round of gossip, and heartbeats from one round to the next.
+    static constexpr std::size_t FanOut = 4;
+    static constexpr std::uint64_t GossipTurns = 3;
     /// An instance without news for this long counts as dead: seven heartbeats, so that lost datagrams alone
-    /// rarely make one look dead.
+    /// rarely make one look dead; in a large fleet the news takes a few rounds.
     static constexpr milliseconds DeadAfter{1400};
+    static constexpr milliseconds LargeDeadAfter{4000};
     /// Dead instances are forgotten after this time.
     static constexpr milliseconds ForgetAfter{60000};
-    /// Most instances that one heartbeat is sent to, so that the cost of an instance doesn't grow with the
-    /// fleet.
-    static constexpr std::size_t FanOut = 10;
-    /// Most instances whose news one heartbeat passes on, so that it fits into one datagram.
+    /// Most instances that one heartbeat introduces to its receiver, so that it fits into one datagram.
     static constexpr std::size_t MaxNews = 12;
+    /// How long a newly found instance is introduced to others first.
+    static constexpr milliseconds IntroduceFor{5000};
+    /// How long a hub that has fallen silent is passed over.
+    static constexpr milliseconds PassOverFor{5000};
 
-    /// A fleet seen by the instance of this name.
-    explicit Fleet(std::string ownName)
+    /// A fleet seen by the instance of this name in this availability zone.
+    Fleet(std::string ownName, std::string ownZone)
         : m_ownName(std::move(ownName))
+        , m_ownZone(std::move(ownZone))
     {}
 
     /// Takes news of an instance, from itself or passed on. News of this instance itself is ignored.
     void hear(const InstanceNews &news, Instant now);
 
+    /// Takes a sign of life. One of an instance that is not known yet makes it wanted.
+    void hear(const LifeSign &sign, Instant now);
+
+    /// Records that a heartbeat of an instance has come from itself.
+    void heardDirectly(std::string_view name, Instant now);
+
+    /// Looks whether the hub of the own zone still talks to this instance, and passes it over for a while if
+    /// it doesn't: the gossip alone would notice its death later. Call once for each heartbeat.
+    void watchHub(Instant now);
+
     /// Whether an instance has been heard of lately.
     [[nodiscard]] bool isAlive(std::string_view name, Instant now) const;
 
@@ -63,20 +95,65 @@
     /// Number of live instances, this one included.
     [[nodiscard]] std::size_t size(Instant now) const;
 
-    /// Live instances to send the next heartbeat to, and the news to pass on with it. `turn` counts
-    /// heartbeats.
+    /// Whether there are too many instances to tell each of them everything.
+    [[nodiscard]] bool isLarge(Instant now) const { return size(now) > MostDirect + 1; }
+
+    /// Whether an instance that knows of `size` instances should be answered at once, because this one knows
+    /// of far more.
+    [[nodiscard]] bool knowsFarMoreThan(std::size_t size, Instant now) const
+    {
+        return this->size(now) > 2 * size;
+    }
+
+    /// The live instance that is the hub of an availability zone, by rendezvous hash; empty when there is
+    /// none.
+    [[nodiscard]] std::string hubOf(std::string_view zone, Instant now) const;
+
+    /// Addresses to send the heartbeat of a turn to, for gossip.
     [[nodiscard]] std::vector<std::string> targets(Instant now, std::uint64_t turn) const;
+
+    /// In a large fleet, what goes from and to hubs at each turn: addresses of other hubs and of the members
+    /// of the own zone, if this instance is the hub of its zone; else the address of that hub.
+    struct HubTargets
+    {
+        bool isHub = false;
+        std::vector<std::string> hubs;
+        std::vector<InstanceNews> members;
+    };
+    [[nodiscard]] HubTargets hubTargets(Instant now) const;
+
+    /// Instances to introduce, and signs of life of all, for the heartbeat of a turn.
     [[nodiscard]] std::vector<InstanceNews> newsToPass(Instant now, std::uint64_t turn) const;
+    [[nodiscard]] std::vector<LifeSign> signsToPass(Instant now) const;
+
+    /// Instances that others know and this one doesn't, by hash of their names; and the news of those that a
+    /// peer wants.
+    [[nodiscard]] std::vector<std::uint32_t> wanted() const;
+    [[nodiscard]] std::vector<InstanceNews> introduce(std::span<const std::uint32_t> wanted,
+                                                      Instant now) const;
 
 private:
     struct Known
     {
         InstanceNews news;
         Instant heardAt{};
+        Instant foundAt{};
+        /// When its last own heartbeat came.
+        Instant directAt{};
+        /// Until when it is passed over as a hub.
+        Instant passedOverUntil{};
     };
 
+    [[nodiscard]] bool isAlive(const Known &known, Instant now) const;
+
     std::string m_ownName;
+    std::string m_ownZone;
     std::map<std::string, Known, std::less<>> m_known;
+    std::unordered_map<std::uint32_t, std::string> m_nameByHash;
+    std::set<std::uint32_t> m_wanted;
+    /// The hub of the own zone, and since when.
+    std::string m_hub;
+    Instant m_hubSince{};
 };
 
 } // namespace chestnutsill
--- a/include/chestnutsill/policy/placing.h
+++ b/include/chestnutsill/policy/placing.h
@@ -35,7 +35,7 @@
     /// Prompt tokens read in a millisecond by an engine.
     double promptTokensPerMs = 50;
     /// Time that one more running request adds to the first token of the next, in milliseconds.
-    double runningMs = 0.5;
+    double runningMs = 2;
     /// Time that a request waits for each one before it when all slots are taken, in milliseconds.
     double waitMs = 30;
 };
--- a/include/chestnutsill/policy/upstreamload.h
+++ b/include/chestnutsill/policy/upstreamload.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -54,6 +55,10 @@
     /// Work of this instance, for its peers.
     [[nodiscard]] std::vector<LoadShare> own() const;
 
+    /// Work of this instance and of its peers but those named, for a hub that tells it on.
+    [[nodiscard]] std::vector<LoadShare> sumWithout(const std::set<std::string, std::less<>> &peers,
+                                                    Instant now) const;
+
 private:
     struct PeerLoad
     {
@@ -87,8 +92,8 @@
     /// Records that this instance lets an upstream read a prompt; `capacity` is its memory in tokens.
     void store(std::string_view upstream, const Prompt &prompt, std::uint64_t capacity);
 
-    /// Takes what a peer has had read.
-    void hear(const PartCopy &copy);
+    /// Takes what a peer has had read; a hub tells it on if it is new.
+    void hear(const PartCopy &copy, bool tellOn);
 
     /// Shared parts that this instance has had read lately, for the next heartbeat.
     [[nodiscard]] std::vector<PartCopy> news();
@@ -113,6 +118,7 @@
     };
 
     static void put(Holding &holding, std::span<const PromptPart> parts);
+    [[nodiscard]] static bool holds(const Holding &holding, std::span<const PromptPart> parts);
 
     /// By hash of the upstream's id.
     std::unordered_map<std::uint64_t, Holding> m_holdings;
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -35,8 +35,8 @@
 /// The state that requests are decided by. All of it belongs to one event loop.
 struct RouterState
 {
-    RouterState(std::string instance, RepeatBounds repeatBounds)
-        : fleet(std::move(instance))
+    RouterState(std::string instance, std::string zone, RepeatBounds repeatBounds)
+        : fleet(std::move(instance), std::move(zone))
         , repeats(repeatBounds)
     {}
 
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -90,13 +90,17 @@
         , m_incarnation(randomNumber())
         , m_io(1)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
-        , m_state(settings.instance,
+        , m_state(settings.instance, settings.zone,
                   {settings.bounds.repeatRatio, settings.bounds.repeatSlack, settings.bounds.repeatWindow})
         , m_router(routerSettings(settings), platform::wireInterface(), m_state)
-        , m_store(settings.store, WatchWait, m_state, [this](std::string_view text) { offerTable(text); })
+        , m_store(settings.store, WatchWait, m_state,
+                  {[this](std::string_view text) { offerTable(text); }, [this] { return feeder(); },
+                   [this] { m_feed.wake(); }})
+        , m_feed([this](std::uint64_t after) { return m_store.feedAnswer(after); })
         , m_fleet(m_io, peerAddress(settings.ip, settings), seedAddresses(settings), m_state,
-                  {[this] { return self(); },
-                   [this](const std::string &peer, std::uint64_t version) { fetchTable(peer, version); }})
+                  {[this] { return self(); }, [this] { return m_store.revision(); },
+                   [this](const std::string &peer, std::uint64_t version) { fetchTable(peer, version); },
+                   [this](std::uint64_t revision) { m_store.noteNewer(revision); }})
         , m_callers(
               m_io, settings.callerListen, [this] { return callerLimits(); },
               [this](Exchange &exchange, const Fiber &fiber) { m_router.handle(exchange, fiber); })
@@ -209,8 +213,22 @@
                          fiber);
     }
 
-    void answerPeer(Exchange &exchange, const Fiber &fiber) const
+    /// In a large fleet one instance of each availability zone reads the store for the others.
+    [[nodiscard]] std::string feeder() const
     {
+        const Instant time = now();
+        if (!m_state.fleet.isLarge(time))
+            return {};
+        const Fleet::HubTargets targets = m_state.fleet.hubTargets(time);
+        return targets.isHub || targets.hubs.empty() ? std::string() : targets.hubs.front();
+    }
+
+    void answerPeer(Exchange &exchange, const Fiber &fiber)
+    {
+        if (!exchange.request().fault && exchange.request().target.starts_with(FeedPath)) {
+            m_feed.serve(exchange, fiber);
+            return;
+        }
         const bool known =
             !exchange.request().fault && exchange.request().target == TablePath && !m_tableText.empty();
         const std::string text = known ? m_tableText : std::string("{}");
@@ -295,6 +313,7 @@
     RouterState m_state;
     Router m_router;
     StoreWatch m_store;
+    FeedServer m_feed;
     FleetLink m_fleet;
     HttpServer m_callers;
     HttpServer m_readiness;
--- a/src/daemon/fleetlink.cpp
+++ b/src/daemon/fleetlink.cpp
@@ -67,22 +67,46 @@
 {
     const Instant time = now();
     m_state.fleet.hear(beat.self, time);
+    m_state.fleet.heardDirectly(beat.self.name, time);
     for (const InstanceNews &news : beat.others)
         m_state.fleet.hear(news, time);
-    m_state.loads.hear(beat.self.name, beat.loads, time);
+    for (const LifeSign &sign : beat.signs)
+        m_state.fleet.hear(sign, time);
+    if (beat.loads)
+        m_state.loads.hear(beat.self.name, *beat.loads, time);
     for (const PartCopy &copy : beat.copies)
-        m_state.parts.hear(copy);
+        m_state.parts.hear(copy, m_isHub);
     for (const CrashNews &crash : beat.crashes)
-        m_state.crashes.hear(crash, time);
+        m_state.crashes.hear(crash, time, m_isHub);
     for (const std::uint64_t fingerprint : beat.cleared)
-        m_state.crashes.hearCleared(fingerprint);
-    m_heard[beat.self.incarnation] = {beat.sentAt, time};
+        m_state.crashes.hearCleared(fingerprint, m_isHub);
+    m_heard[beat.self.peerAddress] = {beat.self.incarnation, beat.sentAt, time};
     const auto &table = m_state.catalog.table();
     const std::uint64_t ownVersion = table ? table->version : 0;
     if (beat.tableVersion > ownVersion)
         m_handlers.newerTable(beat.self.peerAddress, beat.tableVersion);
     else if (beat.tableVersion == ownVersion && table)
         confirm(beat, ownVersion, time);
+    if (beat.revision > m_handlers.revision())
+        m_handlers.newerRevision(beat.revision);
+    answer(beat, time);
+}
+
+void FleetLink::answer(const FleetBeat &beat, Instant time)
+{
+    const bool needsAll = m_state.fleet.knowsFarMoreThan(beat.signs.size() + 1, time) && !beat.signs.empty();
+    const bool isNew =
+        beat.signs.empty() && beat.others.empty() && !beat.loads && m_state.fleet.size(time) > 2;
+    auto introduced = m_state.fleet.introduce(beat.wanted, time);
+    if (!needsAll && !isNew && introduced.empty())
+        return;
+    FleetBeat reply;
+    reply.self = m_handlers.self();
+    reply.others = m_state.fleet.newsToPass(time, m_turn);
+    reply.others.insert(reply.others.end(), introduced.begin(), introduced.end());
+    reply.signs = m_state.fleet.signsToPass(time);
+    reply.sentAt = time;
+    send(std::move(reply), beat.self.peerAddress, time);
 }
 
 void FleetLink::confirm(const FleetBeat &beat, std::uint64_t ownVersion, Instant time)
@@ -97,39 +121,103 @@
     }
 }
 
-void FleetLink::beat()
+FleetBeat FleetLink::news(Instant time)
 {
-    const Instant time = now();
     FleetBeat beat;
     beat.self = m_handlers.self();
-    beat.others = m_state.fleet.newsToPass(time, m_turn);
     beat.tableVersion = m_state.catalog.table() ? m_state.catalog.table()->version : 0;
     if (const auto age = m_state.freshness.age(time))
         beat.confirmedAge = std::chrono::ceil<milliseconds>(*age);
-    beat.loads = m_state.loads.own();
+    beat.revision = m_handlers.revision();
     beat.copies = m_state.parts.news();
     beat.crashes = m_state.crashes.news();
     beat.cleared = m_state.crashes.clearedNews();
+    beat.wanted = m_state.fleet.wanted();
     beat.sentAt = time;
+    return beat;
+}
+
+void FleetLink::beat()
+{
+    const Instant time = now();
     std::erase_if(m_heard, [&](const auto &item) { return time - item.second.arrivedAt > Fleet::DeadAfter; });
-    for (const auto &[incarnation, heard] : m_heard)
-        beat.echoes.push_back({incarnation, heard.sentAt, time - heard.arrivedAt});
-    const std::string bytes = encodeBeat(beat);
-    std::set<std::string> addresses;
-    for (std::string &address : m_state.fleet.targets(time, m_turn))
-        addresses.insert(std::move(address));
-    if (addresses.empty() || m_turn % SeedTurns == 0)
-        addresses.insert(m_seeds.begin(), m_seeds.end());
-    addresses.erase(beat.self.peerAddress);
-    for (const std::string &address : addresses) {
-        boost::system::error_code error;
-        // A datagram that can't be sent is lost like one on the way; the next heartbeat makes up for it.
-        if (const auto endpoint = toEndpoint(address))
-            m_socket.send_to(boost::asio::buffer(bytes), *endpoint, 0, error);
-    }
+    m_state.fleet.watchHub(time);
+    FleetBeat beat = news(time);
+    if (m_state.fleet.size(time) == 1 || m_turn % SeedTurns == 0)
+        beatSeeds(beat, time);
+    if (m_state.fleet.isLarge(time))
+        beatLarge(std::move(beat), time);
+    else
+        beatSmall(std::move(beat), time);
     ++m_turn;
 }
 
+void FleetLink::beatSeeds(FleetBeat beat, Instant time)
+{
+    // Without signs of life it says that it knows nobody.
+    beat.signs = m_state.fleet.signsToPass(time);
+    for (const std::string &address : m_seeds) {
+        if (address != beat.self.peerAddress)
+            send(beat, address, time);
+    }
+}
+
+void FleetLink::beatSmall(FleetBeat beat, Instant time)
+{
+    m_isHub = false;
+    beat.loads = m_state.loads.own();
+    gossip(std::move(beat), time);
+}
+
+void FleetLink::gossip(FleetBeat beat, Instant time)
+{
+    beat.others = m_state.fleet.newsToPass(time, m_turn);
+    if (m_turn % Fleet::GossipTurns == 0)
+        beat.signs = m_state.fleet.signsToPass(time);
+    for (const std::string &address : m_state.fleet.targets(time, m_turn))
+        send(beat, address, time);
+}
+
+void FleetLink::beatLarge(FleetBeat beat, Instant time)
+{
+    if (m_turn % Fleet::GossipTurns == 0)
+        gossip(beat, time);
+    const Fleet::HubTargets targets = m_state.fleet.hubTargets(time);
+    m_isHub = targets.isHub;
+    if (!targets.isHub) {
+        beat.loads = m_state.loads.own();
+        for (const std::string &hub : targets.hubs)
+            send(beat, hub, time);
+        return;
+    }
+    if (m_turn % Fleet::GossipTurns == 0)
+        beat.signs = m_state.fleet.signsToPass(time);
+    std::set<std::string, std::less<>> elsewhere;
+    for (const InstanceNews &instance : m_state.fleet.alive(time)) {
+        if (instance.zone != beat.self.zone)
+            elsewhere.insert(instance.name);
+    }
+    beat.loads = m_state.loads.sumWithout(elsewhere, time);
+    for (const std::string &hub : targets.hubs)
+        send(beat, hub, time);
+    for (const InstanceNews &member : targets.members) {
+        beat.loads = m_state.loads.sumWithout({member.name}, time);
+        send(beat, member.peerAddress, time);
+    }
+}
+
+void FleetLink::send(FleetBeat beat, const std::string &address, Instant time)
+{
+    const auto endpoint = toEndpoint(address);
+    if (!endpoint)
+        return;
+    if (const auto found = m_heard.find(address); found != m_heard.end())
+        beat.echoes = {{found->second.incarnation, found->second.sentAt, time - found->second.arrivedAt}};
+    boost::system::error_code error;
+    // A datagram that can't be sent is lost like one on the way; the next heartbeat makes up for it.
+    m_socket.send_to(boost::asio::buffer(encodeBeat(beat)), *endpoint, 0, error);
+}
+
 void FleetLink::run(const Fiber &fiber)
 {
     for (;;) {
--- a/src/daemon/fleetlink.h
+++ b/src/daemon/fleetlink.h
@@ -18,38 +18,49 @@
 class FleetLink
 {
 public:
-    /// What is told of this instance, and what to do about a peer that has a newer routing table.
+    /// What is told of this instance, and what to do about a peer that has read more of what is published.
     struct Handlers
     {
         std::function<InstanceNews()> self;
+        std::function<std::uint64_t()> revision;
         std::function<void(const std::string &peerAddress, std::uint64_t version)> newerTable;
+        std::function<void(std::uint64_t revision)> newerRevision;
     };
 
     /// Listens on `address`. `seeds` are addresses to try while no other instance is known.
     FleetLink(boost::asio::io_context &io, const std::string &address, std::vector<std::string> seeds,
               RouterState &state, Handlers handlers);
 
-    /// Sends heartbeats until the process ends.
-    void run(const Fiber &fiber);
-
     /// Replaces the addresses to try while no other instance is known.
     void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
 
-    /// Sends one heartbeat now.
+    /// Sends heartbeats until the process ends.
+    void run(const Fiber &fiber);
+
+    /// Sends the heartbeats of one turn now.
     void beat();
 
 private:
-    /// When a peer's last heartbeat came, to be echoed to it.
+    /// A peer's last heartbeat, to be echoed to it.
     struct Heard
     {
+        std::uint64_t incarnation = 0;
         Instant sentAt{};
         Instant arrivedAt{};
     };
 
     void receive();
     void heard(const FleetBeat &beat);
+    void answer(const FleetBeat &beat, Instant time);
     void confirm(const FleetBeat &beat, std::uint64_t ownVersion, Instant time);
 
+    [[nodiscard]] FleetBeat news(Instant time);
+    void beatSmall(FleetBeat beat, Instant time);
+    void beatLarge(FleetBeat beat, Instant time);
+    void gossip(FleetBeat beat, Instant time);
+    void beatSeeds(FleetBeat beat, Instant time);
+    void send(FleetBeat beat, const std::string &address, Instant time);
+
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_buffer{};
@@ -57,9 +68,10 @@
     RouterState &m_state;
     Handlers m_handlers;
     std::uint64_t m_incarnation;
-    /// By incarnation of the peer.
-    std::map<std::uint64_t, Heard> m_heard;
+    /// By address of the peer.
+    std::map<std::string, Heard> m_heard;
     std::uint64_t m_turn = 0;
+    bool m_isHub = false;
 };
 
 } // namespace chestnutsill
--- /dev/null
+++ b/src/daemon/peerfeed.cpp
@@ -0,0 +1,88 @@
+#include "daemon/peerfeed.h"
+
+#include <charconv>
+
+namespace chestnutsill {
+
+namespace {
+
+/// Longest time that a call may wait.
+constexpr milliseconds LongestWait{5000};
+constexpr milliseconds ConnectTimeout{300};
+constexpr std::size_t MaxAnswer = 64 << 20;
+constexpr int StatusOk = 200;
+constexpr int StatusGone = 410;
+
+/// A number from the query of a target; 0 when it is missing.
+std::uint64_t queryNumber(std::string_view target, std::string_view name)
+{
+    const std::string mark = std::string(name) + '=';
+    const auto found = target.find(mark);
+    std::uint64_t number = 0;
+    if (found != std::string_view::npos)
+        std::from_chars(target.data() + found + mark.size(), target.data() + target.size(), number);
+    return number;
+}
+
+} // namespace
+
+void FeedServer::serve(Exchange &exchange, const Fiber &fiber)
+{
+    const std::string_view target = exchange.request().target;
+    const std::uint64_t after = queryNumber(target, "after");
+    const milliseconds wait(std::min<milliseconds::rep>(
+        static_cast<milliseconds::rep>(queryNumber(target, "wait")), LongestWait.count()));
+    auto answer = m_answer(after);
+    if (answer && answer->items.empty()) {
+        boost::asio::steady_timer timer(fiber.get_executor(), wait);
+        const auto place = m_waiting.insert(m_waiting.end(), &timer);
+        boost::system::error_code ignored;
+        timer.async_wait(fiber[ignored]);
+        m_waiting.erase(place);
+        answer = m_answer(after);
+    }
+    if (answer)
+        exchange.respond(StatusOk, "application/octet-stream", encodeFeed(*answer), {}, fiber);
+    else
+        exchange.respond(StatusGone, "application/json", "{}", {}, fiber);
+}
+
+void FeedServer::wake()
+{
+    for (boost::asio::steady_timer *timer : m_waiting)
+        timer->cancel();
+}
+
+std::optional<FeedAnswer> FeedClient::follow(const std::string &peer, std::uint64_t after, milliseconds wait,
+                                             milliseconds timeout, const Fiber &fiber)
+{
+    if (!m_client || m_peer != peer || !m_client->isIdle()) {
+        m_peer = peer;
+        m_client = std::make_unique<HttpClient>();
+        if (!m_client->connect(peer, ConnectTimeout, fiber)) {
+            m_reason = m_client->lastReason();
+            m_client.reset();
+            return std::nullopt;
+        }
+    }
+    const std::string target =
+        std::string(FeedPath) + "?after=" + std::to_string(after) + "&wait=" + std::to_string(wait.count());
+    const auto response = m_client->call({.target = target}, MaxAnswer, timeout, fiber);
+    if (!response) {
+        m_reason = m_client->lastReason();
+        m_client.reset();
+        return std::nullopt;
+    }
+    auto answer = response->head.status == StatusOk ? decodeFeed(response->body) : std::nullopt;
+    if (!answer)
+        m_reason = "status " + std::to_string(response->head.status);
+    return answer;
+}
+
+void FeedClient::cancel()
+{
+    if (m_client)
+        m_client->close();
+}
+
+} // namespace chestnutsill
--- a/src/daemon/storewatch.cpp
+++ b/src/daemon/storewatch.cpp
@@ -18,6 +18,16 @@
 constexpr milliseconds ShortestPause{80};
 constexpr milliseconds LongestPause{250};
 
+/// How long a call to a peer waits for changes, the time that it may take beside, and the oldest confirmation
+/// of a peer that is followed. Together they keep a follower of a stuck peer well within the time to apply a
+/// change.
+constexpr milliseconds FeedWait{700};
+constexpr milliseconds FeedTimeout{300};
+constexpr milliseconds OldestFeed{2500};
+/// How long a peer may have read more before the store itself is asked, and for how long it is asked then.
+constexpr milliseconds LongestBehind{300};
+constexpr milliseconds DirectTime{3000};
+
 std::string faultText(const Faults &faults)
 {
     return faults.empty() ? std::string() : faults[0].path + ' ' + faults[0].message;
@@ -25,11 +35,11 @@
 
 } // namespace
 
-StoreWatch::StoreWatch(std::string address, milliseconds wait, RouterState &state, TableHandler onTable)
+StoreWatch::StoreWatch(std::string address, milliseconds wait, RouterState &state, Handlers handlers)
     : m_client(std::move(address))
     , m_wait(wait)
     , m_state(state)
-    , m_onTable(std::move(onTable))
+    , m_handlers(std::move(handlers))
     , m_random(randomNumber())
 {}
 
@@ -42,7 +52,10 @@
 void StoreWatch::run(const Fiber &fiber)
 {
     for (;;) {
-        if (m_complete ? follow(fiber) : readAll(fiber)) {
+        const std::string peer = m_complete && now() >= m_directUntil ? m_handlers.feeder() : std::string();
+        if (!peer.empty() && followPeer(peer, fiber))
+            continue;
+        if (m_complete ? followStore(fiber) : readAll(fiber)) {
             noteSuccess();
         } else {
             noteFailure();
@@ -51,20 +64,86 @@
     }
 }
 
+void StoreWatch::noteNewer(std::uint64_t revision)
+{
+    if (!m_complete || revision <= m_log.at())
+        return;
+    if (!m_behindSince)
+        m_behindSince = now();
+    // The peer through which the store is followed should have told by now, so it is stuck or cut off.
+    if (now() - *m_behindSince < LongestBehind || now() < m_directUntil)
+        return;
+    m_directUntil = now() + DirectTime;
+    m_feed.cancel();
+}
+
+std::optional<FeedAnswer> StoreWatch::feedAnswer(std::uint64_t after) const
+{
+    auto changes = m_complete ? m_log.since(after) : std::nullopt;
+    if (!changes)
+        return std::nullopt;
+    const Instant time = now();
+    FeedAnswer answer{std::move(*changes), m_log.at(), std::nullopt, {}};
+    if (const auto age = m_state.freshness.age(time))
+        answer.confirmedAge = std::chrono::ceil<milliseconds>(*age);
+    answer.lapseLeft =
+        std::chrono::ceil<milliseconds>(std::max(m_state.catalog.lapseUntil() - time, Instant{}));
+    return answer;
+}
+
+bool StoreWatch::followPeer(const std::string &peer, const Fiber &fiber)
+{
+    const Instant start = now();
+    const auto answer = m_feed.follow(peer, m_log.at(), FeedWait, FeedWait + FeedTimeout, fiber);
+    const bool isFresh = answer && answer->confirmedAge && *answer->confirmedAge <= OldestFeed;
+    if (!isFresh) {
+        m_directUntil = now() + DirectTime;
+        log(LogLevel::Info, "peer-feed-left",
+            {{"peer", peer},
+             {"reason", answer ? std::string("its confirmation is too old") : m_feed.lastReason()},
+             {"confirmedAgeMs", static_cast<std::int64_t>(
+                                    answer && answer->confirmedAge ? answer->confirmedAge->count() : -1)}});
+    }
+    if (!answer)
+        return false;
+    if (answer->lapseLeft > milliseconds(0))
+        m_state.catalog.keepLapsedUntil(now() + answer->lapseLeft);
+    take(answer->items, answer->at);
+    // An empty answer was sent after the whole wait, any other one at some time since the call.
+    const bool waited = answer->items.empty() && now() - start >= FeedWait;
+    if (answer->confirmedAge)
+        confirm((waited ? start + FeedWait : start) - *answer->confirmedAge);
+    if (isFresh)
+        noteSuccess();
+    return isFresh;
+}
+
+void StoreWatch::take(const std::vector<PublishedItem> &items, std::uint64_t at)
+{
+    for (const PublishedItem &item : items) {
+        apply(item, now());
+        m_log.add(item);
+    }
+    m_log.advance(at);
+    m_behindSince.reset();
+    if (!items.empty())
+        m_handlers.changed();
+}
+
 void StoreWatch::noteSuccess()
 {
     if (m_reachable)
         return;
     m_reachable = true;
     m_state.catalog.storeRegained(now());
-    log(LogLevel::Info, "store-regained", {{"revision", static_cast<std::int64_t>(m_at)}});
+    log(LogLevel::Info, "store-regained", {{"revision", static_cast<std::int64_t>(m_log.at())}});
 }
 
 void StoreWatch::noteFailure()
 {
     if (m_client.lastFailure() == platform::StoreFailure::HistoryGone) {
         m_complete = false;
-        log(LogLevel::Info, "store-history-gone", {{"revision", static_cast<std::int64_t>(m_at)}});
+        log(LogLevel::Info, "store-history-gone", {{"revision", static_cast<std::int64_t>(m_log.at())}});
         return;
     }
     if (m_reachable)
@@ -91,7 +170,7 @@
             return false;
         if (after.empty())
             firstAt = page->at;
-        for (const platform::StoreItem &item : page->items) {
+        for (const PublishedItem &item : page->items) {
             seen.insert(item.key);
             apply(item, now());
         }
@@ -101,7 +180,7 @@
     }
     withdrawMissing(seen, firstAt, now());
     // Pages are no snapshot, so changes since the first one are read again.
-    m_at = firstAt;
+    m_log.restart(firstAt);
     m_complete = true;
     confirm(start);
     return true;
@@ -123,29 +202,27 @@
     }
 }
 
-bool StoreWatch::follow(const Fiber &fiber)
+bool StoreWatch::followStore(const Fiber &fiber)
 {
     const Instant start = now();
-    const auto changes = m_client.watch(AllItems, m_at, m_wait, m_wait + AnswerTimeout, fiber);
+    const auto changes = m_client.watch(AllItems, m_log.at(), m_wait, m_wait + AnswerTimeout, fiber);
     if (!changes)
         return false;
-    for (const platform::StoreItem &item : changes->items)
-        apply(item, now());
-    m_at = std::max(m_at, changes->at);
+    take(changes->items, changes->at);
     // An empty answer comes after the whole wait, at the end of which nothing had changed.
     const bool waited = changes->items.empty() && now() - start >= m_wait;
     confirm(waited ? start + m_wait : start);
     return true;
 }
 
-void StoreWatch::apply(const platform::StoreItem &item, Instant time)
+void StoreWatch::apply(const PublishedItem &item, Instant time)
 {
     const platform::ItemName name = platform::nameOf(item.key);
     Faults faults;
     switch (name.kind) {
     case platform::ItemName::Kind::Table:
         if (!item.deleted)
-            m_onTable(item.value);
+            m_handlers.table(item.value);
         break;
     case platform::ItemName::Kind::ZoneOut:
         if (m_state.catalog.isZoneOut(name.name) == item.deleted)
--- a/src/daemon/storewatch.h
+++ b/src/daemon/storewatch.h
@@ -1,36 +1,55 @@
 #pragma once
 
 #include "chestnutsill/router/router.h"
+#include "daemon/peerfeed.h"
 #include "platform/store.h"
 
 #include <functional>
-#include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace chestnutsill {
 
-/// Follows what is published in the store: a full read first, then one waiting call after another.
+/// Follows what is published in the store: a full read first, then one waiting call after another, at the
+/// store itself or at a peer that follows it.
 class StoreWatch
 {
 public:
-    /// Called with each published routing table as text, before it is in force.
-    using TableHandler = std::function<void(std::string_view text)>;
+    /// What the watch asks of the instance around it.
+    struct Handlers
+    {
+        /// Called with each published routing table as text, before it is in force.
+        std::function<void(std::string_view text)> table;
+        /// Address of the peer to follow the store through; empty for none.
+        std::function<std::string()> feeder;
+        /// Called when peers that follow the store through this instance can be told more.
+        std::function<void()> changed;
+    };
 
     /// `wait` is how long one call waits for changes; while it waits, it also proves that there are none.
-    StoreWatch(std::string address, milliseconds wait, RouterState &state, TableHandler onTable);
+    StoreWatch(std::string address, milliseconds wait, RouterState &state, Handlers handlers);
 
     /// Follows the store until the process ends.
     void run(const Fiber &fiber);
 
-    /// Whether the store answered the last call.
-    [[nodiscard]] bool isReachable() const noexcept { return m_reachable; }
+    /// Revision up to which the store has been followed.
+    [[nodiscard]] std::uint64_t revision() const noexcept { return m_complete ? m_log.at() : 0; }
+
+    /// Takes that a peer has followed the store to a revision.
+    void noteNewer(std::uint64_t revision);
+
+    /// What a peer that follows the store through this instance is told.
+    [[nodiscard]] std::optional<FeedAnswer> feedAnswer(std::uint64_t after) const;
 
 private:
     [[nodiscard]] bool readAll(const Fiber &fiber);
-    [[nodiscard]] bool follow(const Fiber &fiber);
-    void apply(const platform::StoreItem &item, Instant time);
+    [[nodiscard]] bool followStore(const Fiber &fiber);
+    [[nodiscard]] bool followPeer(const std::string &peer, const Fiber &fiber);
+    void take(const std::vector<PublishedItem> &items, std::uint64_t at);
+    void apply(const PublishedItem &item, Instant time);
     void withdrawMissing(const std::set<std::string> &seen, std::uint64_t at, Instant time);
     void confirm(Instant at);
     void noteFailure();
@@ -38,13 +57,18 @@
     [[nodiscard]] milliseconds retryPause();
 
     platform::StoreClient m_client;
+    FeedClient m_feed;
     milliseconds m_wait;
     RouterState &m_state;
-    TableHandler m_onTable;
+    Handlers m_handlers;
     std::mt19937_64 m_random;
-    std::uint64_t m_at = 0;
+    ChangeLog m_log;
     bool m_complete = false;
     bool m_reachable = false;
+    /// Until when the store itself is asked although there is a peer to follow it through.
+    Instant m_directUntil{};
+    /// Since when a peer is known to have read more.
+    std::optional<Instant> m_behindSince;
 };
 
 } // namespace chestnutsill
--- a/src/peer/fleet.capnp
+++ b/src/peer/fleet.capnp
@@ -61,4 +61,12 @@
   crashes @8 :List(CrashNews);
   # Fingerprints of requests that were suspected and have completed.
   cleared @9 :List(UInt64);
+  # Signs of life: hash of the name in the upper 32 bits, then 1 bit whether it serves, then its age in ms.
+  signs @10 :List(UInt64);
+  # Hashes of the names of instances that the sender doesn't know.
+  wanted @11 :List(UInt32);
+  # Whether loads are meant; gossip carries none.
+  hasLoads @12 :Bool;
+  # Revision of the store up to which the sender has followed it.
+  revision @13 :UInt64;
 }
--- a/src/peer/fleetbeat.cpp
+++ b/src/peer/fleetbeat.cpp
@@ -62,6 +62,41 @@
     return copy;
 }
 
+constexpr unsigned HashShift = 32;
+constexpr std::uint64_t ServingBit = 1ULL << 31;
+constexpr std::uint64_t AgeMask = ServingBit - 1;
+
+std::uint64_t pack(const LifeSign &sign)
+{
+    const auto age = std::min(clampTo<std::uint32_t>(sign.age.count()), static_cast<std::uint32_t>(AgeMask));
+    return (static_cast<std::uint64_t>(sign.instance) << HashShift) | (sign.serving ? ServingBit : 0) | age;
+}
+
+LifeSign unpack(std::uint64_t packed)
+{
+    return {static_cast<std::uint32_t>(packed >> HashShift), (packed & ServingBit) != 0,
+            milliseconds(static_cast<milliseconds::rep>(packed & AgeMask))};
+}
+
+void writeLoads(wire::FleetBeat::Builder root, const std::vector<LoadShare> &shares)
+{
+    auto loads = root.initLoads(static_cast<unsigned>(shares.size()));
+    for (unsigned i = 0; i < loads.size(); ++i) {
+        loads[i].setUpstream(shares[i].upstream);
+        loads[i].setRunning(clampTo<std::uint16_t>(shares[i].load.running));
+        loads[i].setUnreadTokens(static_cast<float>(shares[i].load.unreadTokens));
+    }
+}
+
+std::vector<LoadShare> readLoads(capnp::List<wire::LoadShare>::Reader loads)
+{
+    std::vector<LoadShare> shares;
+    shares.reserve(loads.size());
+    for (const auto load : loads)
+        shares.push_back({load.getUpstream(), {load.getRunning(), load.getUnreadTokens()}});
+    return shares;
+}
+
 std::vector<std::uint64_t> toNumbers(capnp::List<std::uint64_t>::Reader list)
 {
     std::vector<std::uint64_t> numbers;
@@ -84,12 +119,14 @@
     root.setTableVersion(beat.tableVersion);
     root.setConfirmedAgeMs(beat.confirmedAge ? clampTo<std::int32_t>(beat.confirmedAge->count())
                                              : NeverConfirmed);
-    auto loads = root.initLoads(static_cast<unsigned>(beat.loads.size()));
-    for (unsigned i = 0; i < loads.size(); ++i) {
-        loads[i].setUpstream(beat.loads[i].upstream);
-        loads[i].setRunning(clampTo<std::uint16_t>(beat.loads[i].load.running));
-        loads[i].setUnreadTokens(static_cast<float>(beat.loads[i].load.unreadTokens));
-    }
+    root.setHasLoads(beat.loads.has_value());
+    if (beat.loads)
+        writeLoads(root, *beat.loads);
+    auto signs = root.initSigns(static_cast<unsigned>(beat.signs.size()));
+    for (unsigned i = 0; i < signs.size(); ++i)
+        signs.set(i, pack(beat.signs[i]));
+    root.setWanted({beat.wanted.data(), beat.wanted.size()});
+    root.setRevision(beat.revision);
     root.setSentAt(beat.sentAt.count());
     auto echoes = root.initEchoes(static_cast<unsigned>(beat.echoes.size()));
     for (unsigned i = 0; i < echoes.size(); ++i) {
@@ -126,8 +163,13 @@
         beat.tableVersion = root.getTableVersion();
         if (root.getConfirmedAgeMs() >= 0)
             beat.confirmedAge = milliseconds(root.getConfirmedAgeMs());
-        for (const auto load : root.getLoads())
-            beat.loads.push_back({load.getUpstream(), {load.getRunning(), load.getUnreadTokens()}});
+        if (root.getHasLoads())
+            beat.loads = readLoads(root.getLoads());
+        for (const std::uint64_t sign : root.getSigns())
+            beat.signs.push_back(unpack(sign));
+        for (const std::uint32_t instance : root.getWanted())
+            beat.wanted.push_back(instance);
+        beat.revision = root.getRevision();
         beat.sentAt = Instant(root.getSentAt());
         for (const auto echo : root.getEchoes())
             beat.echoes.push_back(
--- a/src/peer/impl/fleet.capnp.h
+++ b/src/peer/impl/fleet.capnp.h
@@ -128,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 4, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -733,6 +733,16 @@
   inline bool hasCleared() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCleared() const;
 
+  inline bool hasSigns() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSigns() const;
+
+  inline bool hasWanted() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
+
+  inline bool getHasLoads() const;
+
+  inline  ::uint64_t getRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -820,6 +830,28 @@
   inline void adoptCleared(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCleared();
 
+  inline bool hasSigns();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSigns();
+  inline void setSigns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSigns(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSigns(unsigned int size);
+  inline void adoptSigns(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSigns();
+
+  inline bool hasWanted();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getWanted();
+  inline void setWanted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWanted(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initWanted(unsigned int size);
+  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
+
+  inline bool getHasLoads();
+  inline void setHasLoads(bool value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1528,6 +1560,110 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool FleetBeat::Reader::hasSigns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasSigns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FleetBeat::Reader::getSigns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetBeat::Builder::getSigns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::setSigns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void FleetBeat::Builder::setSigns(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetBeat::Builder::initSigns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void FleetBeat::Builder::adoptSigns(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FleetBeat::Builder::disownSigns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool FleetBeat::Reader::hasWanted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasWanted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader FleetBeat::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetBeat::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::setWanted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline void FleetBeat::Builder::setWanted(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetBeat::Builder::initWanted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void FleetBeat::Builder::adoptWanted(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> FleetBeat::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool FleetBeat::Reader::getHasLoads() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetBeat::Builder::getHasLoads() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void FleetBeat::Builder::setHasLoads(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetBeat::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetBeat::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FleetBeat::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/policy/coldshare.cpp
+++ b/src/policy/coldshare.cpp
@@ -22,10 +22,11 @@
 {
     if (perSecond <= 0 || !isSender(upstream, ownName, instances))
         return false;
-    // A sender waits for its part of the rate between two requests. In any second it sends at most one more
-    // than that rate, so that twice the number of senders stays under 1.5 times the rate plus five.
+    // In any second a sender sends at most one request more than its rate. Twice the number of senders, at
+    // three quarters of what the upstream bears, thus stay under 1.5 times that and five, which is where it
+    // falls over.
     constexpr double MicrosecondsPerSecond = 1e6;
-    const Instant pause(static_cast<Instant::rep>(MicrosecondsPerSecond * Senders / perSecond));
+    const Instant pause(static_cast<Instant::rep>(MicrosecondsPerSecond * Senders / (UsedPart * perSecond)));
     const auto [found, isFirst] = m_lastSent.try_emplace(std::string(upstream), now);
     if (!isFirst && now - found->second < pause)
         return false;
--- a/src/policy/crashbook.cpp
+++ b/src/policy/crashbook.cpp
@@ -57,7 +57,7 @@
     found->second.broken.clear();
     if (news.fingerprints.empty())
         return 0;
-    hear(news, now);
+    record(news, now);
     const std::size_t count = news.fingerprints.size();
     m_news.push_back({std::move(news)});
     return count;
@@ -72,9 +72,27 @@
     return true;
 }
 
-void CrashBook::hear(const CrashNews &news, Instant now)
+void CrashBook::record(const CrashNews &news, Instant now)
 {
     m_suspects.recordCrash({}, std::to_string(news.incarnation), news.fingerprints, now);
+    // Forgetting which crashes were told on costs a few datagrams.
+    if (m_seen.size() >= Suspects::MaxCrashes)
+        m_seen.clear();
+    m_seen.insert(news.incarnation);
+}
+
+void CrashBook::hear(const CrashNews &news, Instant now, bool tellOn)
+{
+    if (tellOn && !m_seen.contains(news.incarnation))
+        m_news.push_back({news});
+    record(news, now);
+}
+
+void CrashBook::hearCleared(std::uint64_t fingerprint, bool tellOn)
+{
+    if (tellOn && m_suspects.lastCrash(fingerprint))
+        m_cleared.push_back({fingerprint});
+    m_suspects.clear(fingerprint);
 }
 
 std::vector<CrashNews> CrashBook::news()
--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -22,6 +22,9 @@
 constexpr double OtherZoneMs = 2;
 /// What an upstream that is kept for requests of another kind counts as, in milliseconds.
 constexpr double NotPreferredMs = 150;
+/// Upstreams that are compared for one request, beside those that hold its shared part. With more, all
+/// instances would send to the one that looked emptiest a moment ago.
+constexpr std::size_t MostCompared = 10;
 /// Width of the random part of a cost, in milliseconds, so that instances with the same view don't all choose
 /// alike.
 constexpr double JitterMs = 1;
@@ -112,9 +115,14 @@
     const double shared = sharedTokens(prompt);
     std::optional<Placement> best;
     double bestCost = 0;
+    const std::size_t stride = std::max<std::size_t>(candidates.size() / MostCompared, 1);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlacingCandidate &candidate = candidates[i];
         const bool isHome = home == i;
+        const bool holdsShared = shared > 0 && candidate.cachedTokens >= shared;
+        if (!isHome && !holdsShared && stableHash(candidate.upstream, seed) % stride != 0
+            && (best || i + 1 < candidates.size()))
+            continue;
         const double cached = isHome ? std::max(candidate.cachedTokens, shared) : candidate.cachedTokens;
         const Estimate expected = estimate(candidate, prompt, cached, isHome ? 1 : RereadWeight, speed, seed);
         if (!best || expected.cost < bestCost) {
--- a/src/policy/upstreamload.cpp
+++ b/src/policy/upstreamload.cpp
@@ -60,6 +60,30 @@
     return shares;
 }
 
+std::vector<LoadShare> LoadBook::sumWithout(const std::set<std::string, std::less<>> &peers,
+                                            Instant now) const
+{
+    std::unordered_map<std::uint64_t, Load> sums;
+    const auto add = [&](std::uint64_t upstream, const Load &load) {
+        Load &sum = sums[upstream];
+        sum.running += load.running;
+        sum.unreadTokens += load.unreadTokens;
+    };
+    for (const auto &[upstream, load] : m_own)
+        add(stableHash(upstream), load);
+    for (const auto &[name, peer] : m_peers) {
+        if (peers.contains(name) || now - peer.heardAt > PeerMemory)
+            continue;
+        for (const auto &[upstream, load] : peer.loads)
+            add(upstream, load);
+    }
+    std::vector<LoadShare> shares;
+    shares.reserve(sums.size());
+    for (const auto &[upstream, load] : sums)
+        shares.push_back({upstream, load});
+    return shares;
+}
+
 double PartCache::cachedTokens(std::string_view upstream, const Prompt &prompt) const
 {
     const auto found = m_holdings.find(stableHash(upstream));
@@ -97,14 +121,27 @@
     const std::uint64_t hash = stableHash(upstream);
     Holding &holding = m_holdings[hash];
     holding.capacity = capacity;
+    if (prompt.parts.size() >= 2) {
+        // Copies that are known already are no news, which keeps heartbeats small.
+        PartCopy copy{hash, {prompt.parts.begin(), std::prev(prompt.parts.end())}};
+        if (!holds(holding, copy.parts))
+            m_untold.push_back({std::move(copy)});
+    }
     put(holding, prompt.parts);
-    if (prompt.parts.size() >= 2)
-        m_untold.push_back({{hash, {prompt.parts.begin(), std::prev(prompt.parts.end())}}});
 }
 
-void PartCache::hear(const PartCopy &copy)
+bool PartCache::holds(const Holding &holding, std::span<const PromptPart> parts)
+{
+    return std::all_of(parts.begin(), parts.end(),
+                       [&](const PromptPart &part) { return holding.byId.contains(part.id); });
+}
+
+void PartCache::hear(const PartCopy &copy, bool tellOn)
 {
-    put(m_holdings[copy.upstream], copy.parts);
+    Holding &holding = m_holdings[copy.upstream];
+    if (tellOn && !holds(holding, copy.parts))
+        m_untold.push_back({copy});
+    put(holding, copy.parts);
 }
 
 std::vector<PartCopy> PartCache::news()
--- /dev/null
+++ b/tests/peer/fleetbeattest.cpp
@@ -0,0 +1,77 @@
+#include "chestnutsill/peer/fleetbeat.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace chestnutsill;
+
+namespace {
+
+FleetBeat sample()
+{
+    FleetBeat beat;
+    beat.self = {"one", 11, "a", "127.0.0.1:1", "127.0.0.1:2", true, milliseconds(0)};
+    beat.others.push_back({"two", 12, "b", "127.0.0.1:3", "127.0.0.1:4", false, milliseconds(250)});
+    beat.tableVersion = 9;
+    beat.confirmedAge = milliseconds(1200);
+    beat.loads = {{77, {3, 1500.0}}};
+    beat.signs.push_back({0xffffffff, true, milliseconds(1234)});
+    beat.signs.push_back({5, false, milliseconds(0)});
+    beat.wanted = {9};
+    beat.revision = 321;
+    beat.sentAt = seconds(4);
+    beat.echoes.push_back({12, seconds(3), milliseconds(20)});
+    beat.copies.push_back({77, {{1, 100}, {2, 50}}});
+    beat.crashes.push_back({5, {6, 7}});
+    beat.cleared = {8};
+    return beat;
+}
+
+} // namespace
+
+TEST_CASE("heartbeat: what is sent is what is read")
+{
+    const auto read = decodeBeat(encodeBeat(sample()));
+    REQUIRE(read);
+    CHECK(read->self.name == "one");
+    CHECK(read->self.serving);
+    REQUIRE(read->others.size() == 1);
+    CHECK(read->others[0].age == milliseconds(250));
+    CHECK(read->tableVersion == 9);
+    CHECK(read->confirmedAge == milliseconds(1200));
+    REQUIRE(read->loads);
+    REQUIRE(read->loads->size() == 1);
+    CHECK(read->loads->at(0).load.running == 3);
+    CHECK(read->loads->at(0).load.unreadTokens == 1500);
+    REQUIRE(read->signs.size() == 2);
+    CHECK(read->signs[0].instance == 0xffffffff);
+    CHECK(read->signs[0].serving);
+    CHECK(read->signs[0].age == milliseconds(1234));
+    CHECK_FALSE(read->signs[1].serving);
+    CHECK(read->wanted == std::vector<std::uint32_t>{9});
+    CHECK(read->revision == 321);
+    CHECK(read->echoes.at(0).sentAt == seconds(3));
+    CHECK(read->copies.at(0).parts.at(1).tokens == 50);
+    CHECK(read->crashes.at(0).fingerprints == std::vector<std::uint64_t>{6, 7});
+    CHECK(read->cleared == std::vector<std::uint64_t>{8});
+    FleetBeat without = sample();
+    without.confirmedAge.reset();
+    without.loads.reset();
+    CHECK_FALSE(decodeBeat(encodeBeat(without))->confirmedAge);
+    CHECK_FALSE(decodeBeat(encodeBeat(without))->loads);
+}
+
+TEST_CASE("heartbeat: bytes that are no heartbeat are refused without harm")
+{
+    CHECK_FALSE(decodeBeat({}));
+    const std::string bytes = encodeBeat(sample());
+    rc::check("mutated heartbeats don't end the process", [&] {
+        std::string mutated = bytes;
+        const auto changes = *rc::gen::inRange(1, 8);
+        for (int i = 0; i < changes; ++i)
+            mutated[*rc::gen::inRange<std::size_t>(0, mutated.size())] =
+                static_cast<char>(*rc::gen::inRange(0, 256));
+        mutated.resize(*rc::gen::inRange<std::size_t>(0, mutated.size() + 1));
+        (void)decodeBeat(mutated);
+    });
+}
--- /dev/null
+++ b/tests/platform/publishedtest.cpp
@@ -0,0 +1,160 @@
+#include "platform/published.h"
+
+#include <boost/json.hpp>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace chestnutsill;
+using platform::ItemName;
+
+namespace {
+
+constexpr const char *Table = R"({"version": 7,
+  "routes": [
+    {"name": "r1", "hostname": "h.example", "path_prefix": "/a/", "route_kind": "streaming", "timeout_ms": 4000,
+     "goal_ms": 800, "priority": 1, "service": "chat", "max_attempts": 2, "anonymous": false, "affinity": true,
+     "resumable": true, "target_gap_ms": 600},
+    {"name": "r2", "hostname": "h.example", "path_prefix": "/b/", "route_kind": "unsafe", "timeout_ms": 1000,
+     "priority": 2, "split": [{"service": "desk", "weight": 90}, {"service": "new-desk", "weight": 10}],
+     "max_attempts": 1, "anonymous": true}],
+  "services": [
+    {"name": "chat", "health_path": "/healthz", "max_connections": 370, "protocol": "h1", "tls": false,
+     "cold_start_s": 3.5, "cold_per_s": 6.6, "engine": {"slots": 64, "kv_capacity": 513595, "stride": 7}},
+    {"name": "desk", "health_path": "/healthz", "cold_start_s": 0, "cold_per_s": 0}],
+  "limits": {"max_header_bytes": 8192, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+             "idle_timeout_ms": 15000},
+  "tenants": [{"name": "t1", "api_keys": ["k1", "k2"], "priority": 1}, {"name": "t2", "api_keys": []}]})";
+
+constexpr const char *Entry =
+    R"({"service": "chat", "address": "127.0.0.1:8080", "zone": "a", "version": "v1",
+  "slots": 64, "state": "ready", "cold_remaining_ms": 1200, "sequence": 4, "born": 1700000000000})";
+
+std::optional<UpstreamEntry> entryWith(const char *field, const boost::json::value &value)
+{
+    boost::json::value document = boost::json::parse(Entry);
+    document.as_object()[field] = value;
+    Faults faults;
+    return platform::parseEntry("u1", boost::json::serialize(document), faults);
+}
+
+} // namespace
+
+TEST_CASE("published: a routing table is read as a whole")
+{
+    Faults faults;
+    const auto table = platform::parseTable(Table, faults);
+    REQUIRE(table);
+    CHECK(table->version == 7);
+    REQUIRE(table->routes.size() == 2);
+    const Route &stream = table->routes[0];
+    CHECK(stream.kind == RouteKind::Streaming);
+    CHECK(stream.resumable);
+    CHECK(stream.timeout == seconds(4));
+    CHECK(stream.target == milliseconds(800));
+    CHECK(stream.pauseTarget == milliseconds(600));
+    CHECK(stream.tier == 1);
+    CHECK(stream.maxAttempts == 2);
+    CHECK(stream.services[0].service == "chat");
+    const Route &split = table->routes[1];
+    CHECK(split.kind == RouteKind::AtMostOnce);
+    CHECK(split.anonymous);
+    CHECK(split.services.size() == 2);
+    CHECK(split.services[1].weight == 10);
+    const Service &chat = table->services.at("chat");
+    CHECK(chat.coldStart == milliseconds(3500));
+    CHECK(chat.coldPerSecond == doctest::Approx(6.6));
+    CHECK(chat.engine->cacheTokens == 513595);
+    CHECK_FALSE(table->services.at("desk").engine);
+    CHECK(table->limits.maxHead == 8192);
+    CHECK(findAccount(*table, "k2")->name == "t1");
+    CHECK(findAccount(*table, "k2")->tier == 1);
+    CHECK_FALSE(table->accounts[1].tier);
+}
+
+TEST_CASE("published: a table with a fault is refused and the field named")
+{
+    struct Case
+    {
+        const char *pointer;
+        boost::json::value value;
+        const char *path;
+    };
+    const std::vector<Case> cases{
+        {"/version", "seven", "version"},
+        {"/routes/0/route_kind", "sometimes", "routes[0].route_kind"},
+        {"/routes/0/timeout_ms", -5, "routes[0].timeout_ms"},
+        {"/routes/1/split/0/weight", "all", "routes[1].split[0].weight"},
+        {"/services/0/name", "", "services[0].name"},
+        {"/tenants/0/name", 5, "tenants[0].name"},
+    };
+    for (const Case &item : cases) {
+        CAPTURE(item.pointer);
+        boost::json::value document = boost::json::parse(Table);
+        document.at_pointer(item.pointer) = item.value;
+        Faults faults;
+        CHECK_FALSE(platform::parseTable(boost::json::serialize(document), faults));
+        REQUIRE_FALSE(faults.empty());
+        CHECK(faults[0].path == item.path);
+    }
+}
+
+TEST_CASE("published: an entry of an upstream")
+{
+    Faults faults;
+    const auto entry = platform::parseEntry("u1", Entry, faults);
+    REQUIRE(entry);
+    CHECK(entry->id == "u1");
+    CHECK(entry->service == "chat");
+    CHECK(entry->address == "127.0.0.1:8080");
+    CHECK(entry->slots == 64);
+    CHECK(entry->coldFor == milliseconds(1200));
+    CHECK(entry->bornMs == 1700000000000);
+    CHECK_FALSE(entry->leaving);
+    CHECK(entryWith("state", "draining")->leaving);
+}
+
+TEST_CASE("published: an entry of another writer names no upstream to use")
+{
+    CHECK_FALSE(entryWith("state", "dreaming"));
+    CHECK_FALSE(entryWith("slots", "many"));
+    CHECK_FALSE(entryWith("slots", 0));
+    CHECK_FALSE(entryWith("address", "localhost"));
+    CHECK_FALSE(entryWith("zone", 3));
+    CHECK_FALSE(entryWith("cold_remaining_ms", "cold"));
+    CHECK_FALSE(entryWith("born", 1.5));
+    Faults faults;
+    CHECK_FALSE(platform::parseEntry("u1", "\xff\xfe", faults));
+    CHECK_FALSE(platform::parseEntry("u1", "[]", faults));
+}
+
+TEST_CASE("published: keys of items")
+{
+    CHECK(platform::nameOf("op/config").kind == ItemName::Kind::Table);
+    CHECK(platform::nameOf("op/evacuate/a").kind == ItemName::Kind::ZoneOut);
+    CHECK(platform::nameOf("op/evacuate/a").name == "a");
+    CHECK(platform::nameOf("servers/u1").name == "u1");
+    CHECK(platform::nameOf("op/configuration").kind == ItemName::Kind::Other);
+    CHECK(platform::nameOf(platform::upstreamKey("u1")).name == "u1");
+    CHECK(platform::nameOf(platform::zoneOutKey("a")).name == "a");
+}
+
+TEST_CASE("published: mutated documents are refused or read, without harm")
+{
+    const auto mutate = [](std::string text) {
+        const auto changes = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < changes; ++i)
+            text[*rc::gen::inRange<std::size_t>(0, text.size())] =
+                static_cast<char>(*rc::gen::inRange(0, 256));
+        return text;
+    };
+    rc::check("tables", [&] {
+        Faults faults;
+        const auto table = platform::parseTable(mutate(Table), faults);
+        RC_ASSERT((table == nullptr) == !faults.empty());
+    });
+    rc::check("entries", [&] {
+        Faults faults;
+        const auto entry = platform::parseEntry("u1", mutate(Entry), faults);
+        RC_ASSERT(entry.has_value() == faults.empty());
+    });
+}
--- /dev/null
+++ b/tests/platform/settingstest.cpp
@@ -0,0 +1,89 @@
+#include "platform/settings.h"
+
+#include <boost/json.hpp>
+#include <doctest/doctest.h>
+
+using namespace chestnutsill;
+
+namespace {
+
+constexpr const char *Sample = R"({
+  "node_name": "entry-1", "zone": "a", "region": "r", "ip": "127.0.0.1", "role": "entry", "unheard_of": {},
+  "listen": {"frontend": "127.0.0.1:1", "readiness": "127.0.0.1:2", "control_plane": "127.0.0.1:3",
+             "directory": "127.0.0.1:4"},
+  "internal_ports": [7340, 7355], "seeds": ["127.0.0.2:3", "127.0.0.3:3"],
+  "platform": {"address": "127.0.0.9:8223"},
+  "bounds": {"revoke_strict": true, "revoke_ms": 5000, "config_apply_ms": 2500, "grace_s": 7.5,
+             "retry_budget_ratio": 0.3, "retry_window_s": 8, "retry_slack": 56, "ttl_max_s": 4}
+})";
+
+std::optional<platform::ProcessSettings> with(const char *pointer, const boost::json::value &value,
+                                              Faults &faults)
+{
+    boost::json::value document = boost::json::parse(Sample);
+    document.at_pointer(pointer) = value;
+    return platform::parseSettings(boost::json::serialize(document), faults);
+}
+
+} // namespace
+
+TEST_CASE("settings: each field goes to the member that says what it holds")
+{
+    Faults faults;
+    const auto settings = platform::parseSettings(Sample, faults);
+    REQUIRE(settings);
+    CHECK(faults.empty());
+    CHECK(settings->instance == "entry-1");
+    CHECK(settings->callerListen == "127.0.0.1:1");
+    CHECK(settings->readinessListen == "127.0.0.1:2");
+    CHECK(settings->directoryListen == "127.0.0.1:4");
+    CHECK(settings->firstPeerPort == 7340);
+    CHECK(settings->seedIps == std::vector<std::string>{"127.0.0.2", "127.0.0.3"});
+    CHECK(settings->store == "127.0.0.9:8223");
+    CHECK(settings->bounds.keyAge == milliseconds(5000));
+    CHECK(settings->bounds.applyWithin == milliseconds(2500));
+    CHECK(settings->bounds.grace == milliseconds(7500));
+    CHECK(settings->bounds.repeatRatio == doctest::Approx(0.3));
+    CHECK(settings->bounds.repeatWindow == seconds(8));
+    CHECK(settings->bounds.repeatSlack == 56);
+    CHECK(settings->bounds.directoryAnswerLife == seconds(4));
+}
+
+TEST_CASE("settings: keys may be of any age where nothing is said about those taken away")
+{
+    Faults faults;
+    const auto settings = with("/bounds/revoke_strict", false, faults);
+    REQUIRE(settings);
+    CHECK_FALSE(settings->bounds.keyAge);
+}
+
+TEST_CASE("settings: a fault names the field")
+{
+    struct Case
+    {
+        const char *pointer;
+        boost::json::value value;
+        const char *path;
+    };
+    const std::vector<Case> cases{
+        {"/node_name", 7, "node_name"},
+        {"/listen/frontend", "nowhere", "listen.frontend"},
+        {"/internal_ports", boost::json::array{1, 99999}, "internal_ports[1]"},
+        {"/internal_ports", boost::json::array{1}, "internal_ports"},
+        {"/seeds", boost::json::array{"x"}, "seeds[0]"},
+        {"/platform", "x", "platform"},
+        {"/platform/address", "10.0.0.1", "platform.address"},
+        {"/bounds/grace_s", -1, "bounds.grace_s"},
+        {"/bounds/revoke_ms", "soon", "bounds.revoke_ms"},
+    };
+    for (const Case &item : cases) {
+        CAPTURE(item.pointer);
+        Faults faults;
+        CHECK_FALSE(with(item.pointer, item.value, faults));
+        REQUIRE_FALSE(faults.empty());
+        CHECK(faults[0].path == item.path);
+    }
+    Faults faults;
+    CHECK_FALSE(platform::parseSettings("{", faults));
+    CHECK(faults.at(0).path == "$");
+}
--- /dev/null
+++ b/tests/platform/wiretest.cpp
@@ -0,0 +1,158 @@
+#include "platform/wire.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnutsill;
+
+namespace {
+
+HttpRequest request()
+{
+    HttpRequest made;
+    made.method = "POST";
+    made.target = "/a/b?c=d";
+    made.fields = {{"Host", "h.example"},
+                   {"X-Attempt-Id", "a1"},
+                   {"X-Model", "m"},
+                   {"X-Token-Count", "1460,80"},
+                   {"X-Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+                   {"X-Deadline-Ms", "8000"},
+                   {"Authorization", "Bearer key-1"},
+                   {"X-Other", "kept"}};
+    made.body = "{}";
+    return made;
+}
+
+std::string valueOf(const std::vector<HttpField> &fields, std::string_view name)
+{
+    return std::string(HttpHead{0, fields, {}, false}.field(name));
+}
+
+std::size_t countOf(const std::vector<HttpField> &fields, std::string_view name)
+{
+    std::size_t count = 0;
+    for (const HttpField &field : fields)
+        count += field.name == name ? 1 : 0;
+    return count;
+}
+
+CallerRequest decoded(const HttpRequest &raw)
+{
+    return std::get<CallerRequest>(platform::wireInterface().decode(raw));
+}
+
+} // namespace
+
+TEST_CASE("wire: a caller's request is decoded into what it means")
+{
+    const CallerRequest call = decoded(request());
+    CHECK(call.attemptId == "a1");
+    CHECK(call.host == "h.example");
+    CHECK(call.key == "key-1");
+    CHECK(call.patience == seconds(8));
+    CHECK(call.prompt.tokens == 1460);
+    CHECK(call.prompt.maxOutput == 80);
+    REQUIRE(call.prompt.parts.size() == 3);
+    CHECK(call.prompt.parts[1].id == 0x91bd3f06);
+    CHECK(call.prompt.parts[1].tokens == 410);
+    CHECK(valueOf(call.fields, "X-Other") == "kept");
+    CHECK(valueOf(call.fields, "X-Attempt-Id") == "a1");
+    CHECK(valueOf(call.fields, "Authorization").empty());
+}
+
+TEST_CASE("wire: an upstream gets what this system sets, and nothing that a caller may not set")
+{
+    HttpRequest raw = request();
+    for (const char *name : {"X-Tenant", "X-Expect-Instance", "X-Request-Priority", "X-Retention", "X-Pin-Ms",
+                             "X-Kv-Backup", "Kv-From", "Kv-Fetch"})
+        raw.fields.push_back({name, "forged"});
+    raw.fields.push_back({"Connection", "keep-alive, X-Private"});
+    raw.fields.push_back({"X-Private", "hop"});
+    raw.fields.push_back({"TE", "trailers"});
+    SendOrder order;
+    order.upstream = "u1";
+    order.timeLeft = milliseconds(7000);
+    order.account = "t1";
+    order.engineRank = 2;
+    const auto fields = platform::wireInterface().encode(decoded(raw), order);
+    CHECK(valueOf(fields, "X-Expect-Instance") == "u1");
+    CHECK(valueOf(fields, "X-Deadline-Ms") == "7000");
+    CHECK(valueOf(fields, "X-Tenant") == "t1");
+    CHECK(valueOf(fields, "X-Request-Priority") == "2");
+    for (const char *name : {"X-Expect-Instance", "X-Deadline-Ms", "X-Tenant", "X-Request-Priority"})
+        CHECK(countOf(fields, name) == 1);
+    for (const char *name : {"X-Retention", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "Connection",
+                             "X-Private", "TE", "Authorization"})
+        CHECK(countOf(fields, name) == 0);
+    CHECK(valueOf(fields, "X-Token-Count") == "1460,80");
+    order.account = {};
+    order.engineRank.reset();
+    order.lastEventId = "17";
+    const auto resumed = platform::wireInterface().encode(decoded(raw), order);
+    CHECK(countOf(resumed, "X-Tenant") == 0);
+    CHECK(countOf(resumed, "X-Request-Priority") == 0);
+    CHECK(valueOf(resumed, "Last-Event-Id") == "17");
+}
+
+TEST_CASE("wire: a request that could be taken for another one is refused, and the field named")
+{
+    struct Case
+    {
+        const char *name;
+        std::vector<HttpField> added;
+        std::string removed;
+        const char *field;
+    };
+    const std::vector<Case> cases{
+        {"no id", {}, "X-Attempt-Id", "X-Attempt-Id"},
+        {"two ids", {{"X-Attempt-Id", "a2"}}, "", "X-Attempt-Id"},
+        {"no host", {}, "Host", "Host"},
+        {"two hosts", {{"Host", "other.example"}}, "", "Host"},
+        {"other coding", {{"Transfer-Encoding", "gzip, chunked"}}, "", "Transfer-Encoding"},
+        {"deadline", {{"X-Deadline-Ms", "soon"}}, "X-Deadline-Ms", "X-Deadline-Ms"},
+    };
+    for (const Case &item : cases) {
+        CAPTURE(item.name);
+        HttpRequest raw = request();
+        std::erase_if(raw.fields, [&](const HttpField &field) { return field.name == item.removed; });
+        raw.fields.insert(raw.fields.end(), item.added.begin(), item.added.end());
+        const auto result = platform::wireInterface().decode(raw);
+        REQUIRE(std::holds_alternative<HttpFault>(result));
+        CHECK(std::get<HttpFault>(result).field == item.field);
+        CHECK(std::get<HttpFault>(result).status == 400);
+    }
+}
+
+TEST_CASE("wire: what a response of an upstream says")
+{
+    using Meaning = UpstreamReply::Meaning;
+    const auto read = [](int status, std::vector<HttpField> fields) {
+        return platform::wireInterface().interpret({status, std::move(fields), std::nullopt, true}, "a1");
+    };
+    CHECK(read(200, {{"X-Attempt-Id", "a1"}}).meaning == Meaning::Answer);
+    CHECK(read(500, {}).meaning == Meaning::Answer);
+    // Without the mark a refusal promises nothing.
+    CHECK(read(503, {}).meaning == Meaning::Answer);
+    CHECK(read(503, {{"X-Not-Executed", "1"}}).meaning == Meaning::NotRun);
+    CHECK(read(421, {{"X-Replica-Id", "u2"}}).meaning == Meaning::OtherIncarnation);
+    CHECK(read(200, {{"X-Attempt-Id", "a0"}}).meaning == Meaning::Stray);
+    CHECK(read(200, {{"Keep-Alive", "timeout=5"}}).idleLife == milliseconds(3500));
+    CHECK(read(200, {}).idleLife == milliseconds(300));
+    CHECK_FALSE(platform::wireInterface().interpret({200, {}, std::nullopt, false}, "a1").idleLife);
+    const auto passed =
+        read(200, {{"X-Server-Seal", "s"}, {"Content-Length", "5"}, {"Keep-Alive", "timeout=5"}});
+    CHECK(valueOf(passed.fields, "X-Server-Seal") == "s");
+    CHECK(countOf(passed.fields, "Content-Length") == 0);
+    CHECK(countOf(passed.fields, "Keep-Alive") == 0);
+}
+
+TEST_CASE("wire: times to come back may have fractions, and a directory answer names its life")
+{
+    const auto fields = platform::wireInterface().retryAfter(milliseconds(250));
+    REQUIRE(fields.size() == 1);
+    CHECK(fields[0].name == "Retry-After");
+    CHECK(fields[0].value == "0.250");
+    const std::vector<std::string> addresses{"127.0.0.1:1", "127.0.0.1:2"};
+    CHECK(platform::directoryAnswer(addresses, milliseconds(1500))
+          == R"({"addresses":["127.0.0.1:1","127.0.0.1:2"],"ttl_s":1.5E0})");
+}
--- /dev/null
+++ b/tests/policy/catalogtest.cpp
@@ -0,0 +1,110 @@
+#include "chestnutsill/policy/catalog.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnutsill;
+
+namespace {
+
+UpstreamEntry entry(std::string id)
+{
+    UpstreamEntry made;
+    made.id = std::move(id);
+    made.service = "chat";
+    made.address = "127.0.0.1:1";
+    made.zone = "a";
+    made.slots = 4;
+    return made;
+}
+
+std::shared_ptr<const RoutingTable> table(std::uint64_t version)
+{
+    auto made = std::make_shared<RoutingTable>();
+    made->version = version;
+    made->services["chat"].coldStart = seconds(3);
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("catalog: versions of the table only grow")
+{
+    Catalog catalog;
+    CHECK(catalog.offerTable(table(7)));
+    CHECK_FALSE(catalog.offerTable(table(7)));
+    CHECK_FALSE(catalog.offerTable(table(6)));
+    CHECK_FALSE(catalog.offerTable(nullptr));
+    CHECK(catalog.table()->version == 7);
+}
+
+TEST_CASE("catalog: leaving upstreams and zones that are out get no new work")
+{
+    Catalog catalog;
+    catalog.publish(entry("u1"), 1, seconds(1));
+    CHECK(catalog.mayUse("u1"));
+    catalog.setZoneOut("a", true);
+    CHECK_FALSE(catalog.mayUse("u1"));
+    CHECK(catalog.usable("chat").empty());
+    catalog.setZoneOut("a", false);
+    UpstreamEntry leaving = entry("u1");
+    leaving.leaving = true;
+    catalog.publish(leaving, 2, seconds(2));
+    CHECK_FALSE(catalog.mayUse("u1"));
+    CHECK_FALSE(catalog.mayUse("u2"));
+}
+
+TEST_CASE("catalog: an entry that is older than the known one changes nothing")
+{
+    Catalog catalog;
+    UpstreamEntry leaving = entry("u1");
+    leaving.leaving = true;
+    catalog.publish(leaving, 5, seconds(1));
+    catalog.publish(entry("u1"), 4, seconds(2));
+    CHECK_FALSE(catalog.mayUse("u1"));
+    catalog.withdraw("u1", 3, seconds(3));
+    CHECK(catalog.find("u1") != nullptr);
+}
+
+TEST_CASE("catalog: an entry that goes while the store is up is gone at once")
+{
+    Catalog catalog;
+    catalog.publish(entry("u1"), 1, seconds(1));
+    catalog.withdraw("u1", 2, seconds(2));
+    CHECK(catalog.find("u1") == nullptr);
+}
+
+TEST_CASE("catalog: entries that lapse in an outage are kept until shortly after it")
+{
+    Catalog catalog;
+    catalog.publish(entry("lives"), 1, seconds(1));
+    catalog.publish(entry("died"), 2, seconds(1));
+    catalog.storeLost();
+    catalog.withdraw("lives", 3, seconds(5));
+    catalog.withdraw("died", 4, seconds(5));
+    catalog.expire(seconds(60));
+    CHECK(catalog.mayUse("lives"));
+    catalog.storeRegained(seconds(100));
+    catalog.publish(entry("lives"), 5, seconds(101));
+    catalog.expire(seconds(100) + Catalog::LapseGrace - milliseconds(1));
+    CHECK(catalog.mayUse("died"));
+    catalog.expire(seconds(100) + Catalog::LapseGrace);
+    CHECK_FALSE(catalog.mayUse("died"));
+    CHECK(catalog.mayUse("lives"));
+}
+
+TEST_CASE("catalog: an upstream is cold after its start, a restart under its id, or a failed connection")
+{
+    Catalog catalog;
+    CHECK(catalog.offerTable(table(1)));
+    UpstreamEntry cold = entry("u1");
+    cold.coldFor = milliseconds(1500);
+    cold.bornMs = 10;
+    catalog.publish(cold, 1, seconds(1));
+    CHECK(catalog.find("u1")->coldUntil == seconds(1) + milliseconds(1500));
+    UpstreamEntry again = entry("u1");
+    again.bornMs = 11;
+    catalog.publish(again, 2, seconds(20));
+    CHECK(catalog.find("u1")->coldUntil == seconds(23));
+    catalog.suspectRestart("u1", seconds(30));
+    CHECK(catalog.find("u1")->coldUntil == seconds(33));
+}
--- /dev/null
+++ b/tests/policy/placingtest.cpp
@@ -0,0 +1,205 @@
+#include "chestnutsill/policy/placing.h"
+#include "chestnutsill/policy/upstreamjudge.h"
+#include "chestnutsill/policy/upstreamload.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace chestnutsill;
+
+namespace {
+
+Prompt sharedPrompt(std::uint64_t part)
+{
+    return {{{part, 13300}, {part + 1'000'000, 3700}}, 17000, 100};
+}
+
+std::vector<std::string> ids(int count)
+{
+    std::vector<std::string> made;
+    for (int i = 0; i < count; ++i)
+        made.push_back("u" + std::to_string(i));
+    return made;
+}
+
+std::vector<PlacingCandidate> idle(const std::vector<std::string> &upstreams)
+{
+    std::vector<PlacingCandidate> made;
+    for (const std::string &id : upstreams)
+        made.push_back({.upstream = id, .slots = 64, .sameZone = true});
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("placing: a shared part has one home for all instances, and homes spread")
+{
+    const auto upstreams = ids(9);
+    const auto candidates = idle(upstreams);
+    std::map<std::size_t, int> homes;
+    for (std::uint64_t part = 1; part <= 900; ++part) {
+        const auto first = place(candidates, sharedPrompt(part), {}, 1);
+        const auto other = place(candidates, sharedPrompt(part), {}, 2);
+        REQUIRE(first);
+        CHECK(first->candidate == other->candidate);
+        ++homes[first->candidate];
+    }
+    for (const auto &[candidate, count] : homes)
+        CHECK(count > 60);
+    CHECK(homes.size() == 9);
+}
+
+TEST_CASE("placing: a loaded home is left once waiting costs more than reading again")
+{
+    const auto upstreams = ids(6);
+    auto candidates = idle(upstreams);
+    const auto home = place(candidates, sharedPrompt(5), {}, 1)->candidate;
+    candidates[home].unreadTokens = 5000;
+    CHECK(place(candidates, sharedPrompt(5), {}, 1)->candidate == home);
+    candidates[home].unreadTokens = 60000;
+    const auto spilled = place(candidates, sharedPrompt(5), {}, 1);
+    CHECK(spilled->candidate != home);
+    CHECK(spilled->unreadTokens == 17000);
+}
+
+TEST_CASE("placing: a copy of the part is used before a third one is made")
+{
+    const auto upstreams = ids(6);
+    auto candidates = idle(upstreams);
+    const auto home = place(candidates, sharedPrompt(5), {}, 1)->candidate;
+    const std::size_t copy = home == 0 ? 1 : 0;
+    candidates[home].unreadTokens = 30000;
+    candidates[copy].cachedTokens = 13300;
+    CHECK(place(candidates, sharedPrompt(5), {}, 1)->candidate == copy);
+}
+
+TEST_CASE("placing: failing and full upstreams are left out while others are free")
+{
+    const auto upstreams = ids(2);
+    auto candidates = idle(upstreams);
+    const Prompt plain;
+    candidates[0].failureShare = 0.5;
+    CHECK(place(candidates, plain, {}, 1)->candidate == 1);
+    candidates[0].failureShare = 0;
+    candidates[1].running = 70;
+    CHECK(place(candidates, plain, {}, 1)->candidate == 0);
+    CHECK_FALSE(place({}, plain, {}, 1));
+}
+
+TEST_CASE(
+    "placing: equal views mark the same upstreams for pause-sensitive streams, and the loss of one moves few")
+{
+    const auto upstreams = ids(18);
+    std::vector<std::string_view> views(upstreams.begin(), upstreams.end());
+    const auto marks = markForSensitive(views, 0.25);
+    CHECK(std::count(marks.begin(), marks.end(), true) == 5);
+    std::reverse(views.begin(), views.end());
+    auto reversed = markForSensitive(views, 0.25);
+    std::reverse(reversed.begin(), reversed.end());
+    CHECK(marks == reversed);
+    std::reverse(views.begin(), views.end());
+    views.pop_back();
+    const auto fewer = markForSensitive(views, 0.25);
+    int moved = 0;
+    for (std::size_t i = 0; i < fewer.size(); ++i)
+        moved += fewer[i] != marks[i] ? 1 : 0;
+    CHECK(moved <= 1);
+    const std::vector<std::string_view> three(views.begin(), views.begin() + 3);
+    CHECK(markForSensitive(three, 0.25) == std::vector<bool>{false, false, false});
+}
+
+TEST_CASE("load: own work counts at once, that of peers until it is old")
+{
+    LoadBook book;
+    book.begin("u1", 1000);
+    book.begin("u1", 500);
+    book.read("u1", 1000);
+    CHECK(book.total("u1", seconds(1)).running == 2);
+    CHECK(book.total("u1", seconds(1)).unreadTokens == 500);
+    LoadBook peer;
+    peer.begin("u1", 250);
+    book.hear("peer", peer.own(), seconds(1));
+    CHECK(book.total("u1", seconds(1)).unreadTokens == 750);
+    CHECK(book.total("u1", seconds(1) + LoadBook::PeerMemory + milliseconds(1)).unreadTokens == 500);
+    book.end("u1");
+    book.end("u1");
+    CHECK(book.own().empty());
+}
+
+TEST_CASE("load: a hub adds up its zone without the one that it tells")
+{
+    LoadBook hub;
+    hub.begin("u1", 100);
+    LoadBook member;
+    member.begin("u1", 30);
+    member.begin("u2", 5);
+    hub.hear("member", member.own(), seconds(1));
+    const auto forMember = hub.sumWithout({"member"}, seconds(1));
+    REQUIRE(forMember.size() == 1);
+    CHECK(forMember[0].load.unreadTokens == 100);
+    const auto forHubs = hub.sumWithout({}, seconds(1));
+    CHECK(forHubs.size() == 2);
+    CHECK(hub.sumWithout({}, seconds(10)).size() == 1);
+}
+
+TEST_CASE("part cache: a part counts only after all before it, and the least used goes first")
+{
+    PartCache cache;
+    const Prompt first{{{1, 100}, {2, 50}, {3, 10}}, 160, 0};
+    cache.store("u1", first, 305);
+    CHECK(cache.cachedTokens("u1", first) == 160);
+    CHECK(cache.cachedTokens("u2", first) == 0);
+    CHECK(cache.cachedTokens("u1", {{{1, 100}, {9, 50}}, 150, 0}) == 100);
+    CHECK(cache.cachedTokens("u1", {{{9, 100}, {2, 50}}, 150, 0}) == 0);
+    cache.store("u1", {{{1, 100}, {4, 150}}, 250, 0}, 305);
+    CHECK(cache.cachedTokens("u1", {{{1, 100}, {2, 50}, {3, 10}}, 160, 0}) == 150);
+    cache.forget("u1");
+    CHECK(cache.cachedTokens("u1", first) == 0);
+}
+
+TEST_CASE("part cache: peers learn of shared parts, told several times because heartbeats get lost")
+{
+    PartCache own;
+    PartCache peer;
+    const Prompt prompt{{{1, 100}, {2, 50}}, 150, 0};
+    own.store("u1", prompt, 1000);
+    for (int i = 0; i < PartCache::TimesTold; ++i) {
+        const auto news = own.news();
+        REQUIRE(news.size() == 1);
+        peer.hear(news[0], false);
+    }
+    CHECK(own.news().empty());
+    // The last part belongs to the request alone.
+    CHECK(peer.cachedTokens("u1", prompt) == 100);
+}
+
+TEST_CASE(
+    "judge: an upstream that can't be reached is left out for longer each time, and back after one success")
+{
+    UpstreamJudge judge;
+    judge.record("u1", AttemptResult::Unreachable, seconds(10));
+    CHECK(judge.isOut("u1", seconds(10) + milliseconds(199)));
+    CHECK_FALSE(judge.isOut("u1", seconds(10) + milliseconds(200)));
+    judge.record("u1", AttemptResult::Unreachable, seconds(11));
+    CHECK(judge.isOut("u1", seconds(11) + milliseconds(399)));
+    judge.record("u1", AttemptResult::Served, seconds(12));
+    CHECK_FALSE(judge.isOut("u1", seconds(12)));
+}
+
+TEST_CASE("judge: failures weigh until work succeeds or time passes")
+{
+    UpstreamJudge judge;
+    for (int i = 0; i < 20; ++i)
+        judge.record("u1", AttemptResult::Failed, seconds(10));
+    CHECK(judge.failureShare("u1", seconds(10)) > 0.9);
+    CHECK(judge.failureShare("u1", seconds(12)) < 0.55);
+    for (int i = 0; i < 20; ++i)
+        judge.record("u1", AttemptResult::Served, seconds(10));
+    CHECK(judge.failureShare("u1", seconds(10)) < 0.05);
+    judge.record("u2", AttemptResult::Refused, seconds(10));
+    CHECK(judge.failureShare("u2", seconds(10)) == 0);
+}
--- /dev/null
+++ b/tests/policy/routingtest.cpp
@@ -0,0 +1,52 @@
+#include "chestnutsill/policy/routing.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnutsill;
+
+namespace {
+
+Route route(std::string host, std::string prefix)
+{
+    Route made;
+    made.name = host + prefix;
+    made.host = std::move(host);
+    made.pathPrefix = std::move(prefix);
+    made.services = {{"chat", 1}};
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("routing: the longest prefix of the host wins")
+{
+    RoutingTable table;
+    table.routes = {route("a.example", "/x/"), route("a.example", "/x/y/"), route("b.example", "/")};
+    CHECK(findRoute(table, "a.example", "/x/y/z")->pathPrefix == "/x/y/");
+    CHECK(findRoute(table, "A.Example:8080", "/x/z?q=/x/y/")->pathPrefix == "/x/");
+    CHECK(findRoute(table, "a.example", "/x") == nullptr);
+    CHECK(findRoute(table, "c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("routing: a split follows its weights and stays for the same seed")
+{
+    Route split = route("a.example", "/");
+    split.services = {{"old", 90}, {"new", 10}};
+    int fresh = 0;
+    for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+        CHECK(pickService(split, seed) == pickService(split, seed));
+        fresh += pickService(split, seed) == "new" ? 1 : 0;
+    }
+    CHECK(fresh == 100);
+    split.services.clear();
+    CHECK(pickService(split, 7).empty());
+}
+
+TEST_CASE("routing: a key names its account")
+{
+    RoutingTable table;
+    table.accounts = {{"kiosks", 1}, {"members", std::nullopt}};
+    table.accountByKey = {{"k1", 0}, {"k2", 1}};
+    CHECK(findAccount(table, "k2")->name == "members");
+    CHECK(findAccount(table, "k3") == nullptr);
+}
