--- a/tests/entry/faulttest.cpp
+++ b/tests/entry/faulttest.cpp
@@ -146,7 +146,9 @@
     REQUIRE(site.waitReady());
     CHECK(site.call(0, callTo("/plain/x", "i0"))->head.status == 200);
     first.process->kill();
-    Site::Upstream other{"desk-9", "desk", "a", first.address, std::nullopt};
+    Site::Upstream other;
+    other.id = "desk-9";
+    other.address = first.address;
     site.startUpstream(other);
     CHECK(site.call(0, callTo("/booking/x", "i1"))->head.status == 503);
     CHECK(Site::stat(other, "started") == 0);
--- /dev/null
+++ b/tests/soak/faults.cpp
@@ -0,0 +1,217 @@
+#include "faults.h"
+
+#include <csignal>
+#include <thread>
+
+namespace chestnutsill::soak {
+
+namespace {
+
+constexpr std::uint64_t ShortestPauseMs = 60;
+constexpr std::uint64_t PauseRangeMs = 350;
+constexpr int ExitTime = 12;
+
+} // namespace
+
+Faults::Faults(support::Site &site, History &history, std::uint64_t seed)
+    : m_site(site)
+    , m_history(history)
+    , m_random(seed)
+{}
+
+support::Site::Upstream &Faults::anyUpstream()
+{
+    return m_site.upstreamAt(pick(m_site.upstreamCount()));
+}
+
+void Faults::step()
+{
+    switch (pick(8)) {
+    case 0:
+    case 1:
+        instanceFault();
+        break;
+    case 2:
+    case 3:
+    case 4:
+        upstreamFault();
+        break;
+    case 5:
+        storeFault();
+        break;
+    case 6:
+        operatorChange();
+        break;
+    default:
+        wakeAll();
+    }
+    restartEnded();
+    noteVersions();
+    std::this_thread::sleep_for(std::chrono::milliseconds(ShortestPauseMs + pick(PauseRangeMs)));
+}
+
+void Faults::instanceFault()
+{
+    const std::size_t index = pick(m_site.instances().size());
+    auto &process = m_site.instances()[index].process;
+    if (m_leaving.contains(index) || m_stopped.contains(index))
+        return;
+    switch (pick(4)) {
+    case 0:
+        m_history.note("kill");
+        process->kill();
+        m_site.startInstance(index);
+        m_versions.erase(index);
+        break;
+    case 1:
+        m_history.note("stop");
+        process->signal(SIGSTOP);
+        m_stopped.insert(index);
+        break;
+    case 2:
+        m_history.note("term");
+        process->signal(SIGTERM);
+        m_leaving.insert(index);
+        break;
+    default:
+        m_history.note("hup");
+        process->signal(SIGHUP);
+    }
+}
+
+void Faults::upstreamFault()
+{
+    static const std::vector<std::string> Modes{"ok", "error", "shed", "reset", "cut", "stray", "mute"};
+    static const std::vector<std::string> ProxyOrders{R"({"mode":"pass"})", R"({"mode":"cut"})", R"({"mode":"silent"})",
+                                                      R"({"mode":"mute"})", R"({"mode":"pass","silenceOpen":true})",
+                                                      R"({"mode":"pass","delayMs":150})"};
+    auto &upstream = anyUpstream();
+    switch (pick(4)) {
+    case 0:
+        m_history.note("crash");
+        upstream.process->kill();
+        m_site.startUpstream(upstream);
+        m_site.publishUpstream(upstream, "ready", 1000);
+        m_draining.erase(upstream.id);
+        break;
+    case 1: {
+        const std::string &order = ProxyOrders[pick(ProxyOrders.size())];
+        m_history.note("proxy");
+        support::Site::orderProxy(upstream, order);
+        break;
+    }
+    default: {
+        const std::string &mode = Modes[pick(Modes.size())];
+        m_history.note(mode);
+        support::Site::order(upstream, R"({"mode":")" + mode + "\"}");
+    }
+    }
+}
+
+void Faults::storeFault()
+{
+    static const std::vector<std::string> Orders{R"({"mode":"pass"})", R"({"mode":"refuse"})", R"({"mode":"silent"})",
+                                                 R"({"mode":"pass","dropHistory":true})"};
+    m_history.note("store");
+    m_site.orderStore(Orders[pick(Orders.size())]);
+}
+
+void Faults::operatorChange()
+{
+    switch (pick(3)) {
+    case 0: {
+        const std::string zone = pick(2) == 0 ? "a" : "b";
+        m_history.note("zone");
+        if (m_zonesOut.erase(zone) > 0) {
+            m_site.removeItem("op/evacuate/" + zone);
+        } else if (m_zonesOut.empty()) {
+            m_site.writeItem("op/evacuate/" + zone, "{}");
+            m_zonesOut.insert(zone);
+        }
+        break;
+    }
+    case 1: {
+        auto &upstream = anyUpstream();
+        m_history.note("drain");
+        const bool back = m_draining.erase(upstream.id) > 0;
+        m_site.publishUpstream(upstream, back ? "ready" : "draining");
+        if (!back)
+            m_draining.insert(upstream.id);
+        break;
+    }
+    default: {
+        m_history.note("key");
+        auto &keys = m_site.table()["tenants"].as_array().at(1).as_object()["api_keys"].as_array();
+        if (m_keyGone) {
+            keys.emplace_back("key-2");
+            m_history.keyGiven(unixMs());
+            m_site.publishTable();
+        } else {
+            keys.clear();
+            m_site.publishTable();
+            m_history.keyTaken(unixMs());
+        }
+        m_keyGone = !m_keyGone;
+    }
+    }
+}
+
+void Faults::wakeAll()
+{
+    for (const std::size_t index : m_stopped)
+        m_site.instances()[index].process->signal(SIGCONT);
+    m_stopped.clear();
+}
+
+void Faults::restartEnded()
+{
+    for (std::size_t i = 0; i < m_site.instances().size(); ++i) {
+        const int code = m_site.instances()[i].process->waitForExit(0);
+        if (code < 0)
+            continue;
+        if (!m_leaving.contains(i) || code != 0)
+            m_history.broken("instance " + std::to_string(i) + " ended by itself with " + std::to_string(code));
+        m_leaving.erase(i);
+        m_versions.erase(i);
+        m_site.startInstance(i);
+    }
+}
+
+void Faults::noteVersions()
+{
+    for (std::size_t i = 0; i < m_site.instances().size(); ++i) {
+        if (m_stopped.contains(i))
+            continue;
+        const auto state = m_site.state(i);
+        const auto *version = state.if_contains("configVersion");
+        if (version == nullptr)
+            continue;
+        const auto number = version->to_number<std::int64_t>();
+        if (number < m_versions[i])
+            m_history.broken("instance " + std::to_string(i) + " went back from version "
+                             + std::to_string(m_versions[i]) + " to " + std::to_string(number));
+        m_versions[i] = number;
+    }
+}
+
+void Faults::heal()
+{
+    wakeAll();
+    m_site.orderStore(R"({"mode":"pass"})");
+    for (const std::size_t index : m_leaving) {
+        if (m_site.instances()[index].process->waitForExit(ExitTime) != 0)
+            m_history.broken("instance " + std::to_string(index) + " did not end after SIGTERM");
+        m_site.startInstance(index);
+    }
+    m_leaving.clear();
+    for (const std::string &zone : m_zonesOut)
+        m_site.removeItem("op/evacuate/" + zone);
+    for (std::size_t i = 0; i < m_site.upstreamCount(); ++i) {
+        auto &upstream = m_site.upstreamAt(i);
+        support::Site::order(upstream, R"({"mode":"ok"})");
+        support::Site::orderProxy(upstream, R"({"mode":"pass","delayMs":0})");
+        m_site.publishUpstream(upstream, "ready");
+    }
+}
+
+} // namespace chestnutsill::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,76 @@
+#include "checks.h"
+#include "faults.h"
+#include "load.h"
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace chestnutsill;
+
+/// Plays one seed: a site of real processes, callers, and a series of faults that overlap; then checks what callers and
+/// upstreams have seen. Returns the broken promises.
+std::vector<std::string> play(std::uint64_t seed, int seconds, int instances, int upstreams)
+{
+    support::Site site("soak-" + std::to_string(seed));
+    for (int i = 0; i < upstreams; ++i)
+        site.addUpstream((i % 2 == 0 ? "desk-" : "chat-") + std::to_string(i), i % 2 == 0 ? "desk" : "chat",
+                         i % 4 < 2 ? "a" : "b", true);
+    site.start(instances, static_cast<int>(soak::KeyAge.count()));
+    if (!site.waitReady())
+        return {"the site did not become ready"};
+    soak::History history;
+    soak::Load load(site, history, seed);
+    soak::Faults faults(site, history, seed);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+    while (std::chrono::steady_clock::now() < end)
+        faults.step();
+    faults.heal();
+    auto broken = soak::checkRecovery(site);
+    load.stop();
+    const auto found = soak::check(site, history);
+    broken.insert(broken.end(), found.begin(), found.end());
+    std::cout << "seed " << seed << ": " << history.summary() << '\n';
+    return broken;
+}
+
+} // namespace
+
+/// Usage: chestnutsill-soak [--seed N] [--count N] [--seconds N] [--instances N] [--upstreams N]
+int main(int argc, char **argv)
+{
+    std::uint64_t seed = 1;
+    int count = 1;
+    int seconds = 12;
+    int instances = 4;
+    int upstreams = 6;
+    options::options_description description("Randomized soak of real processes");
+    auto add = description.add_options();
+    add("seed", options::value(&seed), "first seed");
+    add("count", options::value(&count), "number of seeds, one after the other");
+    add("seconds", options::value(&seconds), "time of faults in each");
+    add("instances", options::value(&instances), "instances");
+    add("upstreams", options::value(&upstreams), "upstreams, half of them engines");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), values);
+        options::notify(values);
+    } catch (const options::error &error) {
+        std::cerr << "chestnutsill-soak: " << error.what() << '\n' << description;
+        return 2;
+    }
+    int failed = 0;
+    for (int i = 0; i < count; ++i) {
+        const auto broken = play(seed + static_cast<std::uint64_t>(i), seconds, instances, upstreams);
+        for (const std::string &promise : broken)
+            std::cout << "seed " << seed + static_cast<std::uint64_t>(i) << " BROKEN: " << promise << '\n';
+        failed += broken.empty() ? 0 : 1;
+    }
+    std::cout << count - failed << " passed, " << failed << " failed\n";
+    return failed == 0 ? 0 : 1;
+}
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -4,6 +4,8 @@
 
 #include <unistd.h>
 
+#include <iostream>
+
 namespace chestnutsill::standin {
 
 namespace {
@@ -67,6 +69,8 @@
         ++m_runs[id];
         ++m_started;
         m_lastStartMs = unixMs();
+        // Outlives the process, for checks over its crashes.
+        std::cout << "run " << id << ' ' << m_lastStartMs << std::endl;
         m_account = request.field("X-Tenant");
         m_keySeen = m_keySeen || !request.field("Authorization").empty();
         m_lastEventId = request.field("Last-Event-Id");
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -66,15 +66,16 @@
 int Process::waitForExit(int seconds)
 {
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
-    while (std::chrono::steady_clock::now() < end) {
+    for (;;) {
         int status = 0;
         if (::waitpid(m_pid, &status, WNOHANG) == m_pid) {
             m_pid = -1;
             return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
         }
+        if (std::chrono::steady_clock::now() >= end)
+            return -1;
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
-    return -1;
 }
 
 } // namespace chestnutsill::support
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -63,12 +63,28 @@
     publishTable();
 }
 
-Site::Upstream &Site::addUpstream(const std::string &id, const std::string &service, const std::string &zone)
+Site::Upstream &Site::addUpstream(const std::string &id, const std::string &service, const std::string &zone,
+                                  bool withProxy)
 {
-    m_upstreams.push_back(
-        std::make_unique<Upstream>(Upstream{id, service, zone, loopback(freePort()), std::nullopt}));
+    m_upstreams.push_back(std::make_unique<Upstream>());
     Upstream &upstream = *m_upstreams.back();
+    upstream.id = id;
+    upstream.service = service;
+    upstream.zone = zone;
+    upstream.address = loopback(freePort());
+    upstream.publishedAddress = upstream.address;
     startUpstream(upstream);
+    if (withProxy) {
+        upstream.publishedAddress = loopback(freePort());
+        upstream.proxyControl = loopback(freePort());
+        upstream.proxy.emplace(
+            std::vector<std::string>{std::string(CHESTNUTSILL_BUILD) + "/tests/chestnutsill-standin", "proxy", "--listen",
+                                     upstream.publishedAddress, "--target", upstream.address, "--control",
+                                     upstream.proxyControl},
+            m_folder + '/' + id + "-proxy.log");
+        (void) waitUntil(
+            [&] { return support::call(upstream.proxyControl, "POST", "/", R"({"mode":"pass"})").has_value(); });
+    }
     publishUpstream(upstream, "ready");
     return upstream;
 }
@@ -88,7 +104,7 @@
     if (state.empty())
         return removeItem(key);
     writeItem(key, json::serialize(json::object{{"service", upstream.service},
-                                                {"address", upstream.address},
+                                                {"address", upstream.publishedAddress},
                                                 {"zone", upstream.zone},
                                                 {"version", "v1"},
                                                 {"slots", 16},
@@ -97,6 +113,27 @@
                                                 {"sequence", 1}}));
 }
 
+void Site::orderProxy(const Upstream &upstream, const std::string &order)
+{
+    (void) support::call(upstream.proxyControl, "POST", "/", order);
+}
+
+std::multimap<std::string, std::int64_t> Site::allRuns() const
+{
+    std::multimap<std::string, std::int64_t> runs;
+    for (const auto &upstream : m_upstreams) {
+        std::ifstream log(m_folder + '/' + upstream->id + ".log");
+        std::string word;
+        std::string id;
+        std::int64_t at = 0;
+        while (log >> word) {
+            if (word == "run" && log >> id >> at)
+                runs.emplace(id, at);
+        }
+    }
+    return runs;
+}
+
 void Site::publishTable()
 {
     m_version += 2;
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -5,6 +5,7 @@
 
 #include <boost/json.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,8 +35,12 @@
         std::string id;
         std::string service;
         std::string zone;
+        /// Its own address, and the one that is published.
         std::string address;
+        std::string publishedAddress;
+        std::string proxyControl;
         std::optional<Process> process;
+        std::optional<Process> proxy;
     };
 
     struct Instance
@@ -48,8 +53,15 @@
     /// A site whose logs and settings go to a folder of its own under the build folder.
     explicit Site(const std::string &name);
 
-    /// Starts an upstream and publishes it.
-    Upstream &addUpstream(const std::string &id, const std::string &service, const std::string &zone = "a");
+    /// Starts an upstream and publishes it. With a proxy before it, faults can be put on its connections.
+    Upstream &addUpstream(const std::string &id, const std::string &service, const std::string &zone = "a",
+                          bool withProxy = false);
+
+    /// Sends an order to the proxy of an upstream.
+    static void orderProxy(const Upstream &upstream, const std::string &order);
+
+    /// When each attempt id was run, in Unix milliseconds, over all upstreams and their restarts.
+    [[nodiscard]] std::multimap<std::string, std::int64_t> allRuns() const;
 
     /// Starts the processes of an upstream or an instance again.
     void startUpstream(Upstream &upstream);
@@ -93,7 +105,10 @@
     [[nodiscard]] boost::json::object state(std::size_t instance) const;
 
     [[nodiscard]] Upstream &upstream(const std::string &id);
+    [[nodiscard]] Upstream &upstreamAt(std::size_t index) { return *m_upstreams.at(index); }
+    [[nodiscard]] std::size_t upstreamCount() const noexcept { return m_upstreams.size(); }
     [[nodiscard]] std::vector<Instance> &instances() noexcept { return m_instances; }
+    [[nodiscard]] const std::vector<Instance> &instances() const noexcept { return m_instances; }
     [[nodiscard]] std::string address(std::size_t instance, int port) const;
     [[nodiscard]] int callerPort() const noexcept { return m_callerPort; }
 
