Reading again weighs more the longer the queues; abandoned requests are reset

And requests of callers that had left reached upstreams 1.8 s later, because closing a connection still delivers what is held up on its way. Change: the weight of reading again is 1.5 plus the mean queue over 100 ms, at most 8. What is abandoned is reset.

--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -88,7 +88,7 @@
     void relayEvents(RoutedCall &call, RoutedAttempt &attempt, const HttpHead &head, const Fiber &fiber);
     [[nodiscard]] bool mayRepeat(RoutedCall &call, const RoutedAttempt &attempt);
     [[nodiscard]] bool mayStart(const RoutedCall &call, const RoutedAttempt &attempt) const;
-    void finishAttempt(RoutedCall &call, const RoutedAttempt &attempt, const Fiber &fiber);
+    void finishAttempt(RoutedCall &call, RoutedAttempt &attempt, const Fiber &fiber);
     void noteUnreachable(const std::string &upstream);
     void probe(const std::string &upstream, const std::string &address, const Fiber &fiber);
     void respond(RoutedCall &call, const Answer &answer, const Fiber &fiber) const;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -217,6 +217,15 @@
         m_impl->stream->close();
 }
 
+void HttpClient::reset()
+{
+    if (!m_impl->stream)
+        return;
+    boost::system::error_code ignored;
+    m_impl->stream->socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    m_impl->stream->close();
+}
+
 bool HttpClient::timedOut() const noexcept
 {
     return m_impl->timedOut;
--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -11,8 +11,12 @@
 
 namespace {
 
-/// How much reading a shared part at another upstream counts against its time alone.
+/// How much reading a shared part at another upstream counts against its time alone: at least so much, and more the
+/// longer the queues are everywhere, because then it delays others.
 constexpr double RereadWeight = 1.5;
+constexpr double MostRereadWeight = 8;
+/// Mean queue that adds 1 to that weight, in milliseconds.
+constexpr double RereadQueueMs = 100;
 /// How much each millisecond of reading counts for every running request, whose next token it delays.
 constexpr double PauseWeight = 0.05;
 /// What a share of failures of 1 counts as, in milliseconds: more than any queue that is worth waiting for.
@@ -88,6 +92,15 @@
     return result;
 }
 
+double rereadWeightAt(std::span<const PlacingCandidate> candidates, const PlacingSpeed &speed)
+{
+    double unread = 0;
+    for (const PlacingCandidate &candidate : candidates)
+        unread += candidate.unreadTokens;
+    const auto count = static_cast<double>(std::max<std::size_t>(candidates.size(), 1));
+    return std::min(RereadWeight + unread / speed.promptTokensPerMs / count / RereadQueueMs, MostRereadWeight);
+}
+
 } // namespace
 
 std::vector<bool> markForSensitive(std::span<const std::string_view> upstreams, double share)
@@ -113,6 +126,7 @@
 {
     const auto home = homeOf(candidates, prompt);
     const double shared = sharedTokens(prompt);
+    const double rereadWeight = rereadWeightAt(candidates, speed);
     std::optional<Placement> best;
     double bestCost = 0;
     const std::size_t stride = std::max<std::size_t>(candidates.size() / MostCompared, 1);
@@ -124,7 +138,7 @@
             && (best || i + 1 < candidates.size()))
             continue;
         const double cached = isHome ? std::max(candidate.cachedTokens, shared) : candidate.cachedTokens;
-        const Estimate expected = estimate(candidate, prompt, cached, isHome ? 1 : RereadWeight, speed, seed);
+        const Estimate expected = estimate(candidate, prompt, cached, isHome ? 1 : rereadWeight, speed, seed);
         if (!best || expected.cost < bestCost) {
             best = Placement{i, expected.firstTokenMs, expected.unreadTokens};
             bestCost = expected.cost;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -119,7 +119,7 @@
     exchange.watchCaller([&call] {
         call.callerGone = true;
         if (call.active != nullptr)
-            call.active->close();
+            call.active->reset();
     });
     auto answer = identify(call);
     if (!answer)
@@ -448,7 +448,7 @@
     return !attempt.sent || m_state.repeats.spend(call.serviceName, m_state.fleet.size(now()), now());
 }
 
-void Router::finishAttempt(RoutedCall &call, const RoutedAttempt &attempt, const Fiber &fiber)
+void Router::finishAttempt(RoutedCall &call, RoutedAttempt &attempt, const Fiber &fiber)
 {
     const Instant time = now();
     if (!attempt.firstByteSeen)
@@ -456,6 +456,9 @@
     m_state.loads.end(attempt.upstream);
     m_state.crashes.end(attempt.upstream, call.fingerprint, attempt.broke && !call.callerGone, time);
     call.active = nullptr;
+    // What is left of an abandoned request must not reach the upstream any more.
+    if (attempt.client && attempt.sent && !call.ended)
+        attempt.client->reset();
     if (attempt.sent && attempt.verdict == Verdict::NotRun)
         --call.possibleRuns;
     if (call.callerGone)
