Hubs are picked among the strongest instances, callers sent to the strongest 64, silence proves no crash

Directory answers named 88 instances where callers take 64. Change: instances tell what they can carry (steps of 0.05 cores and 10 Mbit/s, the lesser); hubs and, where not all can be named, callers' instances are the strongest. Only a refused connection counts as a crash. A table is fetched from a peer only when the store has not brought it for 0.3 s.

--- a/include/chestnutsill/net/httpclient.h
+++ b/include/chestnutsill/net/httpclient.h
@@ -64,7 +64,8 @@
     /// Closes the connection; what waits on it fails.
     void close();
 
-    /// Resets the connection, so that bytes of a request which are still on their way are lost rather than delivered late.
+    /// Resets the connection, so that bytes of a request which are still on their way are lost rather than
+    /// delivered late.
     void reset();
 
     /// Whether the last failure was a timeout.
--- a/include/chestnutsill/policy/fleet.h
+++ b/include/chestnutsill/policy/fleet.h
@@ -29,8 +29,15 @@
     bool serving = false;
     /// How long ago the instance itself said so.
     milliseconds age{};
+    /// What it can carry beside others, see `strengthOf`.
+    int strength = 1;
 };
 
+/// What an instance with this part of a core and this link can carry, 1 the least: the lesser of its steps of
+/// 0.05 cores and of 10 Mbit/s. Hubs are picked among the strongest, and where not all can be named, callers
+/// are sent to them.
+[[nodiscard]] int strengthOf(double cpuShare, double linkMbps) noexcept;
+
 /// A sign of life of an instance that the receiver already knows, in a few bytes.
 struct LifeSign
 {
@@ -40,6 +47,11 @@
     milliseconds age{};
 };
 
+/// Addresses of instances that callers may use, for one directory answer: of the serving ones at most 64, the
+/// strongest, and among equals others in each answer.
+[[nodiscard]] std::vector<std::string> callerAddresses(std::vector<InstanceNews> instances,
+                                                       std::uint64_t answer);
+
 /// Who else is alive, learnt from heartbeats that pass on signs of life of all others. A state machine
 /// without I/O. In a small fleet everybody tells everybody. In a large one each tells a few picked at random,
 /// and one hub in each availability zone collects what must be known sooner, so that the cost of an instance
@@ -68,9 +80,10 @@
     static constexpr milliseconds PassOverFor{5000};
 
     /// A fleet seen by the instance of this name in this availability zone.
-    Fleet(std::string ownName, std::string ownZone)
+    Fleet(std::string ownName, std::string ownZone, int ownStrength = 1)
         : m_ownName(std::move(ownName))
         , m_ownZone(std::move(ownZone))
+        , m_ownStrength(ownStrength)
     {}
 
     /// Takes news of an instance, from itself or passed on. News of this instance itself is ignored.
@@ -105,8 +118,8 @@
         return this->size(now) > 2 * size;
     }
 
-    /// The live instance that is the hub of an availability zone, by rendezvous hash; empty when there is
-    /// none.
+    /// The live instance that is the hub of an availability zone: of the strongest the first by rendezvous
+    /// hash; empty when there is none.
     [[nodiscard]] std::string hubOf(std::string_view zone, Instant now) const;
 
     /// Addresses to send the heartbeat of a turn to, for gossip.
@@ -148,6 +161,7 @@
 
     std::string m_ownName;
     std::string m_ownZone;
+    int m_ownStrength;
     std::map<std::string, Known, std::less<>> m_known;
     std::unordered_map<std::uint32_t, std::string> m_nameByHash;
     std::set<std::uint32_t> m_wanted;
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -36,8 +36,8 @@
 /// The state that requests are decided by. All of it belongs to one event loop.
 struct RouterState
 {
-    RouterState(std::string instance, std::string zone, RepeatBounds repeatBounds)
-        : fleet(std::move(instance), std::move(zone))
+    RouterState(std::string instance, std::string zone, int strength, RepeatBounds repeatBounds)
+        : fleet(std::move(instance), std::move(zone), strength)
         , repeats(repeatBounds)
     {}
 
@@ -89,7 +89,7 @@
     [[nodiscard]] bool mayRepeat(RoutedCall &call, const RoutedAttempt &attempt);
     [[nodiscard]] bool mayStart(const RoutedCall &call, const RoutedAttempt &attempt) const;
     void finishAttempt(RoutedCall &call, RoutedAttempt &attempt, const Fiber &fiber);
-    void noteUnreachable(const std::string &upstream);
+    void noteUnreachable(const std::string &upstream, bool refused);
     void probe(const std::string &upstream, const std::string &address, const Fiber &fiber);
     void respond(RoutedCall &call, const Answer &answer, const Fiber &fiber) const;
     void account(const RoutedCall &call, const std::optional<Answer> &answer);
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -34,6 +34,8 @@
 constexpr milliseconds DrainPoll{50};
 constexpr milliseconds HousekeepingPeriod{250};
 constexpr milliseconds TableTimeout{1000};
+/// How long a newer table that peers tell of may take to come from the store.
+constexpr milliseconds TablePatience{300};
 /// Housekeeping periods between two looks at the settings file.
 constexpr int SettingsTurns = 4;
 constexpr std::string_view TablePath = "/table";
@@ -90,7 +92,7 @@
         , m_incarnation(randomNumber())
         , m_io(1)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
-        , m_state(settings.instance, settings.zone,
+        , m_state(settings.instance, settings.zone, strengthOf(settings.cpuShare, settings.linkMbps),
                   {settings.bounds.repeatRatio, settings.bounds.repeatSlack, settings.bounds.repeatWindow})
         , m_router(routerSettings(settings), platform::wireInterface(), m_state)
         , m_store(settings.store, WatchWait, m_state,
@@ -138,7 +140,8 @@
                 m_settings.callerListen,
                 peerAddress(m_settings.ip, m_settings),
                 isServing(),
-                milliseconds(0)};
+                milliseconds(0),
+                strengthOf(m_settings.cpuShare, m_settings.linkMbps)};
     }
 
     [[nodiscard]] HttpLimits callerLimits() const
@@ -173,7 +176,14 @@
     /// Reads a newer table from a peer, one at a time.
     void fetchTable(const std::string &peer, std::uint64_t version)
     {
-        if (m_fetching)
+        if (m_heardVersion < version) {
+            m_heardVersion = version;
+            m_heardVersionAt = now();
+        }
+        // While the store can be followed it brings the table itself, soon and without a second copy on the
+        // links.
+        const bool isLate = now() - m_heardVersionAt > TablePatience;
+        if (m_fetching || (m_store.followedFor(now()) > milliseconds(0) && !isLate))
             return;
         m_fetching = true;
         startFiber(m_io, [this, peer, version](const Fiber &fiber) {
@@ -197,19 +207,15 @@
         exchange.respond(status, "application/json", "{}", {}, fiber);
     }
 
-    void answerDirectory(Exchange &exchange, const Fiber &fiber) const
+    void answerDirectory(Exchange &exchange, const Fiber &fiber)
     {
         if (!platform::isDirectoryCall(exchange.request())) {
             exchange.respond(StatusNotFound, "application/json", "{}", {}, fiber);
             return;
         }
-        std::vector<std::string> addresses;
-        if (isServing())
-            addresses.push_back(m_settings.callerListen);
-        for (const InstanceNews &instance : m_state.fleet.alive(now())) {
-            if (instance.serving)
-                addresses.push_back(instance.callerAddress);
-        }
+        auto instances = m_state.fleet.alive(now());
+        instances.push_back(self());
+        const auto addresses = callerAddresses(std::move(instances), ++m_directoryAnswers);
         const int status = addresses.empty() ? StatusUnavailable : StatusOk;
         exchange.respond(status, "application/json", platform::directoryAnswer(addresses, DirectoryLife), {},
                          fiber);
@@ -325,6 +331,10 @@
     /// The table in force as published, for peers.
     std::string m_tableText;
     bool m_fetching = false;
+    /// The highest version that peers have told of, and when it was first heard of.
+    std::uint64_t m_heardVersion = 0;
+    Instant m_heardVersionAt{};
+    std::uint64_t m_directoryAnswers = 0;
 };
 
 EntryNode::EntryNode(const platform::ProcessSettings &settings, std::string settingsPath, int metricsPort)
--- a/src/peer/fleet.capnp
+++ b/src/peer/fleet.capnp
@@ -11,6 +11,7 @@
   peerAddress @4 :Text;
   serving @5 :Bool;
   ageMs @6 :UInt32;
+  strength @7 :UInt8;
 }
 
 struct LoadShare {
--- a/src/peer/fleetbeat.cpp
+++ b/src/peer/fleetbeat.cpp
@@ -34,13 +34,15 @@
     out.setPeerAddress(news.peerAddress.c_str());
     out.setServing(news.serving);
     out.setAgeMs(clampTo<std::uint32_t>(news.age.count()));
+    out.setStrength(clampTo<std::uint8_t>(news.strength));
 }
 
 InstanceNews read(wire::InstanceNews::Reader in)
 {
-    return {toText(in.getName()),          in.getIncarnation(),         toText(in.getZone()),
-            toText(in.getCallerAddress()), toText(in.getPeerAddress()), in.getServing(),
-            milliseconds(in.getAgeMs())};
+    return {toText(in.getName()),        in.getIncarnation(),
+            toText(in.getZone()),        toText(in.getCallerAddress()),
+            toText(in.getPeerAddress()), in.getServing(),
+            milliseconds(in.getAgeMs()), in.getStrength()};
 }
 
 void write(wire::PartCopy::Builder out, const PartCopy &copy)
--- a/src/peer/impl/fleet.capnp.h
+++ b/src/peer/impl/fleet.capnp.h
@@ -172,6 +172,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint8_t getStrength() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -237,6 +239,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint8_t getStrength();
+  inline void setStrength( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1064,6 +1069,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t InstanceNews::Reader::getStrength() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t InstanceNews::Builder::getStrength() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void InstanceNews::Builder::setStrength( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LoadShare::Reader::getUpstream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -33,6 +33,33 @@
 
 } // namespace
 
+std::vector<std::string> callerAddresses(std::vector<InstanceNews> instances, std::uint64_t answer)
+{
+    // Callers take no more from one answer.
+    constexpr std::size_t MostNamed = 64;
+    std::erase_if(instances, [](const InstanceNews &instance) { return !instance.serving; });
+    if (instances.size() > MostNamed) {
+        std::sort(instances.begin(), instances.end(), [&](const InstanceNews &a, const InstanceNews &b) {
+            return std::pair(a.strength, stableHash(a.name, answer))
+                   > std::pair(b.strength, stableHash(b.name, answer));
+        });
+        instances.resize(MostNamed);
+    }
+    std::vector<std::string> addresses;
+    addresses.reserve(instances.size());
+    for (InstanceNews &instance : instances)
+        addresses.push_back(std::move(instance.callerAddress));
+    return addresses;
+}
+
+int strengthOf(double cpuShare, double linkMbps) noexcept
+{
+    constexpr double CoreStep = 0.05;
+    constexpr double LinkStep = 10;
+    constexpr double Most = 100;
+    return static_cast<int>(std::clamp(std::min(cpuShare / CoreStep, linkMbps / LinkStep), 1.0, Most));
+}
+
 void Fleet::hear(const InstanceNews &news, Instant now)
 {
     if (news.name == m_ownName || news.name.empty())
@@ -143,20 +170,20 @@
 std::string Fleet::hubOf(std::string_view zone, Instant now) const
 {
     std::string hub;
-    std::uint64_t best = 0;
-    const auto consider = [&](const std::string &name) {
-        const std::uint64_t rank = stableHash(name, stableHash(zone));
+    std::pair<int, std::uint64_t> best;
+    const auto consider = [&](const std::string &name, int strength) {
+        const std::pair<int, std::uint64_t> rank{strength, stableHash(name, stableHash(zone))};
         if (hub.empty() || rank > best) {
             hub = name;
             best = rank;
         }
     };
     if (zone == m_ownZone)
-        consider(m_ownName);
+        consider(m_ownName, m_ownStrength);
     for (const auto &[name, known] : m_known) {
         if (known.news.zone == zone && known.news.serving && isAlive(known, now)
             && now >= known.passedOverUntil)
-            consider(name);
+            consider(name, known.news.strength);
     }
     return hub;
 }
--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// How much reading a shared part at another upstream counts against its time alone: at least so much, and more the
-/// longer the queues are everywhere, because then it delays others.
+/// How much reading a shared part at another upstream counts against its time alone: at least so much, and
+/// more the longer the queues are everywhere, because then it delays others.
 constexpr double RereadWeight = 1.5;
 constexpr double MostRereadWeight = 8;
 /// Mean queue that adds 1 to that weight, in milliseconds.
@@ -98,7 +98,8 @@
     for (const PlacingCandidate &candidate : candidates)
         unread += candidate.unreadTokens;
     const auto count = static_cast<double>(std::max<std::size_t>(candidates.size(), 1));
-    return std::min(RereadWeight + unread / speed.promptTokensPerMs / count / RereadQueueMs, MostRereadWeight);
+    return std::min(RereadWeight + unread / speed.promptTokensPerMs / count / RereadQueueMs,
+                    MostRereadWeight);
 }
 
 } // namespace
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -467,7 +467,7 @@
     if (attempt.result == AttemptResult::Served)
         m_state.crashes.completed(call.fingerprint);
     if (attempt.result == AttemptResult::Unreachable)
-        noteUnreachable(attempt.upstream);
+        noteUnreachable(attempt.upstream, !attempt.client->timedOut());
     else if (attempt.broke)
         probe(attempt.upstream, attempt.address, fiber);
     if (attempt.result != AttemptResult::Served) {
@@ -480,12 +480,16 @@
     }
 }
 
-void Router::noteUnreachable(const std::string &upstream)
+void Router::noteUnreachable(const std::string &upstream, bool refused)
 {
     const Instant time = now();
+    m_state.connections.close(upstream);
+    // Silence may come from the own link as well; only a refused connection proves that the upstream has
+    // ended.
+    if (!refused)
+        return;
     m_state.catalog.suspectRestart(upstream, time);
     m_state.parts.forget(upstream);
-    m_state.connections.close(upstream);
     const UpstreamRecord *record = m_state.catalog.find(upstream);
     const std::string incarnation = std::to_string(record != nullptr ? record->entry.bornMs : 0);
     const std::size_t running = m_state.crashes.crashed(upstream, incarnation, time);
@@ -509,7 +513,7 @@
         m_state.connections.keep(upstream, std::move(client), ProbedIdleLife, now());
     } else {
         m_state.judge.record(upstream, AttemptResult::Unreachable, now());
-        noteUnreachable(upstream);
+        noteUnreachable(upstream, !client->timedOut());
     }
     m_probing.erase(upstream);
 }
--- a/tests/peer/fleetbeattest.cpp
+++ b/tests/peer/fleetbeattest.cpp
@@ -10,7 +10,7 @@
 FleetBeat sample()
 {
     FleetBeat beat;
-    beat.self = {"one", 11, "a", "127.0.0.1:1", "127.0.0.1:2", true, milliseconds(0)};
+    beat.self = {"one", 11, "a", "127.0.0.1:1", "127.0.0.1:2", true, milliseconds(0), 7};
     beat.others.push_back({"two", 12, "b", "127.0.0.1:3", "127.0.0.1:4", false, milliseconds(250)});
     beat.tableVersion = 9;
     beat.confirmedAge = milliseconds(1200);
@@ -36,6 +36,7 @@
     REQUIRE(read);
     CHECK(read->self.name == "one");
     CHECK(read->self.serving);
+    CHECK(read->self.strength == 7);
     REQUIRE(read->others.size() == 1);
     CHECK(read->others[0].age == milliseconds(250));
     CHECK(read->tableVersion == 9);
--- a/tests/platform/settingstest.cpp
+++ b/tests/platform/settingstest.cpp
@@ -12,7 +12,7 @@
   "listen": {"frontend": "127.0.0.1:1", "readiness": "127.0.0.1:2", "control_plane": "127.0.0.1:3",
              "directory": "127.0.0.1:4"},
   "internal_ports": [7340, 7355], "seeds": ["127.0.0.2:3", "127.0.0.3:3"],
-  "platform": {"address": "127.0.0.9:8223"},
+  "platform": {"address": "127.0.0.9:8223"}, "limits": {"cpu_share": 0.12, "link_mbps": 10.0},
   "bounds": {"revoke_strict": true, "revoke_ms": 5000, "config_apply_ms": 2500, "grace_s": 7.5,
              "retry_budget_ratio": 0.3, "retry_window_s": 8, "retry_slack": 56, "ttl_max_s": 4}
 })";
@@ -40,6 +40,8 @@
     CHECK(settings->firstPeerPort == 7340);
     CHECK(settings->seedIps == std::vector<std::string>{"127.0.0.2", "127.0.0.3"});
     CHECK(settings->store == "127.0.0.9:8223");
+    CHECK(settings->cpuShare == doctest::Approx(0.12));
+    CHECK(settings->linkMbps == doctest::Approx(10));
     CHECK(settings->bounds.keyAge == milliseconds(5000));
     CHECK(settings->bounds.applyWithin == milliseconds(2500));
     CHECK(settings->bounds.grace == milliseconds(7500));
--- a/tests/policy/fleettest.cpp
+++ b/tests/policy/fleettest.cpp
@@ -160,6 +160,37 @@
     CHECK(one.hubOf("b", seconds(10)).empty());
 }
 
+TEST_CASE("fleet: the hub is one of the strongest")
+{
+    CHECK(strengthOf(0.5, 200) == 10);
+    CHECK(strengthOf(0.5, 10) == 1);
+    CHECK(strengthOf(0.01, 1) == 1);
+    Fleet weak("weak", "a", 1);
+    for (int i = 0; i < 8; ++i)
+        weak.hear({"i" + std::to_string(i), 1, "a", "", "", true, milliseconds(0), i == 5 ? 4 : 2},
+                  seconds(10));
+    CHECK(weak.hubOf("a", seconds(10)) == "i5");
+    Fleet strong("strong", "a", 6);
+    strong.hear({"i5", 1, "a", "", "", true, milliseconds(0), 4}, seconds(10));
+    CHECK(strong.hubOf("a", seconds(10)) == "strong");
+}
+
+TEST_CASE("fleet: a directory answer names serving instances, and the strongest where there are too many")
+{
+    std::vector<InstanceNews> instances;
+    for (int i = 0; i < 100; ++i)
+        instances.push_back({"i" + std::to_string(i), 1, "a", "address-" + std::to_string(i), "", i != 0,
+                             milliseconds(0), i < 40 ? 5 : 1});
+    const auto addresses = callerAddresses(instances, 1);
+    CHECK(addresses.size() == 64);
+    for (int i = 1; i < 40; ++i)
+        CHECK(std::count(addresses.begin(), addresses.end(), "address-" + std::to_string(i)) == 1);
+    CHECK(std::count(addresses.begin(), addresses.end(), "address-0") == 0);
+    CHECK(callerAddresses(instances, 2) != addresses);
+    instances.resize(10);
+    CHECK(callerAddresses(instances, 1).size() == 9);
+}
+
 TEST_CASE("freshness: ages on while nothing confirms, and never goes back")
 {
     Freshness freshness;
