Rank requests at engines by the account's tier first, then by the route's

Cause: the account's tier replaced the route's, and all but one account have the same one, so engines could not tell the urgent kinds from the others and preempted them alike. Change: accounts first, routes among equal accounts. Tests of the rank failed before and pass.

--- a/include/chestnutsill/policy/routing.h
+++ b/include/chestnutsill/policy/routing.h
@@ -113,6 +113,11 @@
 /// The account that holds a key; null when there is none.
 [[nodiscard]] const ClientAccount *findAccount(const RoutingTable &table, std::string_view key);
 
+/// Rank of a request at an engine, 0 the most urgent and 9 the least: by the account's tier first, and among
+/// equal accounts by the route's. Ranks beyond the range are cut off at its end.
+[[nodiscard]] int engineRank(const RoutingTable &table, const Route &route,
+                             const ClientAccount *account) noexcept;
+
 /// The service for one request of a route: the same for the same seed while the weights stay. Empty when the
 /// route has no service.
 [[nodiscard]] std::string_view pickService(const Route &route, std::uint64_t seed) noexcept;
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -35,6 +35,18 @@
     return found == table.accountByKey.end() ? nullptr : &table.accounts[found->second];
 }
 
+int engineRank(const RoutingTable &table, const Route &route, const ClientAccount *account) noexcept
+{
+    constexpr int LeastUrgent = 9;
+    /// An account without a tier counts as the usual one.
+    constexpr int UsualAccountTier = 1;
+    int routeTiers = 1;
+    for (const Route &other : table.routes)
+        routeTiers = std::max(routeTiers, other.tier + 1);
+    const int accountTier = account == nullptr ? UsualAccountTier : account->tier.value_or(UsualAccountTier);
+    return std::clamp(accountTier * routeTiers + route.tier, 0, LeastUrgent);
+}
+
 std::string_view pickService(const Route &route, std::uint64_t seed) noexcept
 {
     std::uint64_t sum = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -20,8 +20,6 @@
 constexpr std::size_t MaxWholeAnswer = 1 << 20;
 /// Responses to other requests that are skipped on one connection.
 constexpr int MaxStrays = 3;
-/// Range of ranks at engines.
-constexpr int LowestEngineRank = 9;
 /// Pause after which callers that were refused for want of something short-lived may return.
 constexpr milliseconds ShortPause{250};
 /// Part of the upstreams that pause-sensitive streams go to first.
@@ -46,11 +44,6 @@
     return std::max(timeLeft(call), milliseconds(1));
 }
 
-int tierOf(const RoutedCall &call)
-{
-    return call.account != nullptr && call.account->tier ? *call.account->tier : call.route->tier;
-}
-
 /// Whether a second run of the request does no harm.
 bool isIdempotent(const Route &route)
 {
@@ -300,7 +293,7 @@
     order.timeLeft = waitFor(call);
     order.account = call.account != nullptr ? std::string_view(call.account->name) : std::string_view();
     if (call.service != nullptr && call.service->engine)
-        order.engineRank = std::clamp(tierOf(call), 0, LowestEngineRank);
+        order.engineRank = engineRank(*call.table, *call.route, call.account);
     if (call.started)
         order.lastEventId = call.events.lastId();
     const auto fields = m_wire.encode(call.request, order);
--- a/tests/policy/routingtest.cpp
+++ b/tests/policy/routingtest.cpp
@@ -42,6 +42,21 @@
     CHECK(pickService(split, 7).empty());
 }
 
+TEST_CASE("routing: the account's tier goes first at an engine, the route's among equal accounts")
+{
+    RoutingTable table;
+    table.routes = {route("a.example", "/x/"), route("a.example", "/y/")};
+    table.routes[0].tier = 0;
+    table.routes[1].tier = 2;
+    const ClientAccount first{"first", 0};
+    const ClientAccount usual{"usual", 1};
+    const ClientAccount last{"last", 40};
+    CHECK(engineRank(table, table.routes[0], &usual) < engineRank(table, table.routes[1], &usual));
+    CHECK(engineRank(table, table.routes[1], &first) < engineRank(table, table.routes[0], &usual));
+    CHECK(engineRank(table, table.routes[1], nullptr) == engineRank(table, table.routes[1], &usual));
+    CHECK(engineRank(table, table.routes[1], &last) == 9);
+}
+
 TEST_CASE("routing: a key names its account")
 {
     RoutingTable table;
