--- a/include/chestnutsill/clock.h
+++ b/include/chestnutsill/clock.h
@@ -6,7 +6,7 @@
 
 namespace chestnutsill {
 
-/// The clock of this process. It runs on while the process or its machine is stopped.
+/// The clock of this process. It runs on while the process is stopped.
 [[nodiscard]] inline Instant now() noexcept
 {
     timespec time{};
--- a/include/chestnutsill/policy/answer.h
+++ b/include/chestnutsill/policy/answer.h
@@ -15,7 +15,7 @@
     std::string contentType = "application/json";
     /// Payload bytes; a JSON error object unless the verdict is `Answered`.
     std::string body;
-    /// Short machine-readable cause of a refusal, for example `queue-full`. Empty for answers.
+    /// Short cause for programs of a refusal, for example `queue-full`. Empty for answers.
     std::string reason;
 };
 
--- a/include/chestnutsill/policy/fleet.h
+++ b/include/chestnutsill/policy/fleet.h
@@ -52,7 +52,7 @@
 [[nodiscard]] std::vector<std::string> callerAddresses(std::vector<InstanceNews> instances,
                                                        std::uint64_t answer);
 
-/// Who else is alive, learnt from heartbeats that pass on signs of life of all others. A state machine
+/// Who else is alive, learnt from heartbeats that pass on signs of life of all others. It runs
 /// without I/O. In a small fleet everybody tells everybody. In a large one each tells a few picked at random,
 /// and one hub in each availability zone collects what must be known sooner, so that the cost of an instance
 /// hardly grows with the fleet. Not thread-safe.
--- /dev/null
+++ b/src/router/choose.cpp
@@ -0,0 +1,112 @@
+#include "chestnutsill/router/router.h"
+
+#include "chestnutsill/clock.h"
+#include "chestnutsill/policy/hash.h"
+#include "routedcall.h"
+
+#include <algorithm>
+
+namespace chestnutsill {
+
+namespace {
+
+/// Part of the upstreams that pause-sensitive streams go to first.
+constexpr double SensitiveShare = 0.25;
+/// A route is pause-sensitive when its longest pause on time is under this many times the shortest of its
+/// service.
+constexpr double SensitiveRatio = 1.5;
+
+/// Whether the streams of a route bear no longer pauses than those of any other route of the service.
+bool isPauseSensitive(const RoutedCall &call)
+{
+    milliseconds shortest = milliseconds::max();
+    for (const Route &route : call.table->routes) {
+        const bool sameService =
+            std::any_of(route.services.begin(), route.services.end(),
+                        [&](const auto &part) { return part.service == call.serviceName; });
+        if (sameService && route.pauseTarget > milliseconds(0))
+            shortest = std::min(shortest, route.pauseTarget);
+    }
+    return static_cast<double>(call.route->pauseTarget.count())
+           < SensitiveRatio * static_cast<double>(shortest.count());
+}
+
+/// Keeps pause-sensitive streams and long prompts apart while there is room.
+void preferByPause(const RoutedCall &call, std::vector<PlacingCandidate> &candidates)
+{
+    if (call.service == nullptr || !call.service->engine)
+        return;
+    std::vector<std::string_view> ids;
+    ids.reserve(candidates.size());
+    for (const PlacingCandidate &candidate : candidates)
+        ids.push_back(candidate.upstream);
+    const auto marks = markForSensitive(ids, SensitiveShare);
+    const bool sensitive = isPauseSensitive(call);
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        candidates[i].preferred = marks[i] == sensitive;
+}
+
+/// The names of all live instances, this one included.
+std::vector<std::string> liveInstances(const RouterState &state, const std::string &own, Instant now)
+{
+    std::vector<std::string> names{own};
+    for (const InstanceNews &instance : state.fleet.alive(now))
+        names.push_back(instance.name);
+    return names;
+}
+
+} // namespace
+
+std::vector<PlacingCandidate> Router::candidates(const RoutedCall &call, Instant time) const
+{
+    std::vector<PlacingCandidate> found;
+    for (const UpstreamRecord *record : m_state.catalog.usable(call.serviceName)) {
+        const std::string &id = record->entry.id;
+        const bool wasTried = std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end();
+        if (wasTried || m_state.judge.isOut(id, time))
+            continue;
+        const Load load = m_state.loads.total(id, time);
+        found.push_back({.upstream = id,
+                         .slots = record->entry.slots,
+                         .running = load.running,
+                         .unreadTokens = load.unreadTokens,
+                         .cachedTokens = m_state.parts.cachedTokens(id, call.request.prompt),
+                         .failureShare = m_state.judge.failureShare(id, time),
+                         .sameZone = record->entry.zone == m_settings.zone});
+    }
+    return found;
+}
+
+bool Router::admitsCold(const RoutedCall &call, const UpstreamRecord &record, Instant time)
+{
+    if (time >= record.coldUntil || call.service == nullptr || call.service->coldPerSecond <= 0)
+        return true;
+    const auto names = liveInstances(m_state, m_settings.instance, time);
+    return m_state.cold.admit(record.entry.id, call.service->coldPerSecond, m_settings.instance, names, time);
+}
+
+std::optional<Answer> Router::choose(RoutedCall &call, RoutedAttempt &attempt)
+{
+    const Instant time = now();
+    if (time >= call.endBy)
+        return notRun("deadline", "the time of the request is over");
+    m_state.catalog.expire(time);
+    auto left = candidates(call, time);
+    preferByPause(call, left);
+    while (!left.empty()) {
+        const auto placement =
+            place(left, call.request.prompt, PlacingSpeed{}, stableHash(call.request.attemptId));
+        const UpstreamRecord &record = *m_state.catalog.find(left[placement->candidate].upstream);
+        if (admitsCold(call, record, time)) {
+            attempt.upstream = record.entry.id;
+            attempt.address = record.entry.address;
+            attempt.unreadTokens = placement->unreadTokens;
+            attempt.predictedMs = placement->firstTokenMs;
+            return std::nullopt;
+        }
+        left.erase(left.begin() + static_cast<std::ptrdiff_t>(placement->candidate));
+    }
+    return notRun("no-upstream", "no upstream of the service can take the request now");
+}
+
+} // namespace chestnutsill
