An entry that is read again doesn't make its upstream cold again; the demo shows the platform's path

Cause: a full read after a gap took the published cold time of each entry as counted from now, so that upstreams which had been warm for long got only a cold one's share for seconds. Found when reading the code; a test of the catalogue failed before (cold until 61 s instead of 2.5 s) and passes. The demo plays a store, an engine, a plain service and two instances, and kills one of them.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,7 +3,7 @@
 # example deployment. DEMO_VICTIM (1, 2 or 3; default 3) is the instance that is killed between the two.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-scripts/build.sh
+[ -n "${DEMO_NO_BUILD:-}" ] || scripts/build.sh
 bin=build
 victim=${DEMO_VICTIM:-3}
 other=$((victim % 3 + 1))
@@ -72,6 +72,49 @@
     stop_all
 }
 
+# Sends one request and prints the response. Arguments: address, path, request id.
+platform_request() {
+    local host=${1%:*} port=${1##*:}
+    exec 3<>"/dev/tcp/$host/$port"
+    printf 'POST %s HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: %s\r\nAuthorization: Bearer demo-key\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}' "$2" "$3" >&3
+    cat <&3
+    exec 3>&-
+}
+
+# Writes an item of the store. Arguments: key, value.
+platform_put() {
+    exec 3<>/dev/tcp/127.0.0.1/7400
+    printf 'PUT /item?key=%s HTTP/1.1\r\nHost: store\r\nContent-Length: %s\r\nConnection: close\r\n\r\n%s' "$1" "${#2}" "$2" >&3
+    cat <&3 >/dev/null
+    exec 3>&-
+}
+
+run_platform() {
+    echo "=== platform: a store, an engine, a plain service, two instances"
+    start $bin/tests/chestnutsill-standin store --listen 127.0.0.1:7400
+    start $bin/tests/chestnutsill-standin replica --listen 127.0.0.1:7411 --id engine-1
+    start $bin/tests/chestnutsill-standin replica --listen 127.0.0.1:7412 --id desk-1
+    until (exec 3<>/dev/tcp/127.0.0.1/7400) 2>/dev/null; do sleep 0.1; done
+    platform_put op/config '{"version":1,"routes":[{"name":"chat","hostname":"site.example","path_prefix":"/stream/","route_kind":"streaming","timeout_ms":5000,"goal_ms":800,"priority":0,"service":"engine","max_attempts":2,"resumable":true,"target_gap_ms":400},{"name":"book","hostname":"site.example","path_prefix":"/book/","route_kind":"unsafe","timeout_ms":2000,"priority":1,"service":"desk","max_attempts":1}],"services":[{"name":"engine","cold_start_s":1,"cold_per_s":8,"engine":{"kv_capacity":400000}},{"name":"desk"}],"tenants":[{"name":"demo","api_keys":["demo-key"],"priority":1}]}'
+    platform_put servers/engine-1 '{"service":"engine","address":"127.0.0.1:7411","zone":"a","version":"v1","slots":16,"state":"ready","cold_remaining_ms":0,"sequence":1}'
+    platform_put servers/desk-1 '{"service":"desk","address":"127.0.0.1:7412","zone":"a","version":"v1","slots":6,"state":"ready","cold_remaining_ms":0,"sequence":1}'
+    local i ip first=${#started[@]}
+    for i in 1 2; do
+        ip=127.0.2.$i
+        echo "{\"node_name\":\"entry-$i\",\"zone\":\"a\",\"region\":\"r\",\"ip\":\"$ip\",\"listen\":{\"frontend\":\"$ip:7501\",\"readiness\":\"$ip:7502\",\"directory\":\"$ip:7503\"},\"internal_ports\":[7504,7510],\"seeds\":[\"127.0.2.1:1\",\"127.0.2.2:1\"],\"platform\":{\"address\":\"127.0.0.1:7400\"},\"bounds\":{\"revoke_strict\":true,\"revoke_ms\":5000,\"grace_s\":4}}" >"$work/entry-$i.json"
+        CHESTNUTSILL_CONFIG="$work/entry-$i.json" start $bin/chestnutsilld --metrics-port 9464
+    done
+    until platform_request 127.0.2.1:7501 /book/x "ready-$RANDOM" 2>/dev/null | grep -q '200 OK'; do sleep 0.1; done
+    echo "=== platform: a stream"
+    platform_request 127.0.2.1:7501 /stream/x stream-1
+    echo "=== platform: instance entry-1 is killed; a booking at the other"
+    kill -KILL "${started[$first]}"
+    until platform_request 127.0.2.2:7501 /book/x "booking-$RANDOM" 2>/dev/null | grep -q 'body of booking'; do sleep 0.1; done
+    echo "booked"
+    stop_all
+}
+
+run_platform
 run_deployment hamakaze kiosk-help kiosks ticket-desk kyushu-a
 run_deployment kimlong route-help dispatch rota vn-a
 echo "=== done"
--- a/src/policy/catalog.cpp
+++ b/src/policy/catalog.cpp
@@ -39,7 +39,9 @@
     if (record.revision > revision)
         return;
     const bool restarted = record.entry.bornMs != 0 && record.entry.bornMs != entry.bornMs;
-    record.coldUntil = std::max(record.coldUntil, now + entry.coldFor);
+    // Read again after a gap, an entry says how long the upstream was cold when it was written, not now.
+    if (record.revision != revision)
+        record.coldUntil = std::max(record.coldUntil, now + entry.coldFor);
     if (restarted)
         record.coldUntil = std::max<Instant>(record.coldUntil, now + coldStartOf(entry.service));
     record.entry = std::move(entry);
--- a/tests/policy/catalogtest.cpp
+++ b/tests/policy/catalogtest.cpp
@@ -110,6 +110,16 @@
     CHECK_FALSE(catalog.mayUse("later"));
 }
 
+TEST_CASE("catalog: an entry that is read again doesn't make its upstream cold again")
+{
+    Catalog catalog;
+    UpstreamEntry cold = entry("u1");
+    cold.coldFor = milliseconds(1500);
+    catalog.publish(cold, 1, seconds(1));
+    catalog.publish(cold, 1, seconds(60));
+    CHECK(catalog.find("u1")->coldUntil == seconds(1) + milliseconds(1500));
+}
+
 TEST_CASE("catalog: an upstream is cold after its start, a restart under its id, or a failed connection")
 {
     Catalog catalog;
