A hub's feed is as old as its own reading, and being behind is not forgotten at each answer

Cause: the store turned the hub of the zone away. Its table stayed confirmed by other hubs, and the feed told that age, so its followers trusted a log that no longer grew; and the note that peers had read more was dropped with each empty answer of the feed, so that its 0.3 s never passed. Change: the feed tells the age of the hub's own reading of the store; the lag behind peers is a decision of its own, with a test that the old behaviour fails.

--- a/src/daemon/storewatch.cpp
+++ b/src/daemon/storewatch.cpp
@@ -24,8 +24,7 @@
 constexpr milliseconds FeedWait{700};
 constexpr milliseconds FeedTimeout{300};
 constexpr milliseconds OldestFeed{2500};
-/// How long a peer may have read more before the store itself is asked, and for how long it is asked then.
-constexpr milliseconds LongestBehind{300};
+/// How long the store itself is asked after a peer that was followed has fallen behind.
 constexpr milliseconds DirectTime{3000};
 
 std::string faultText(const Faults &faults)
@@ -55,9 +54,7 @@
         const std::string peer = m_complete && now() >= m_directUntil ? m_handlers.feeder() : std::string();
         if (!peer.empty() && followPeer(peer, fiber))
             continue;
-        if (m_complete ? followStore(fiber) : readAll(fiber)) {
-            noteSuccess();
-        } else {
+        if (!(m_complete ? followStore(fiber) : readAll(fiber))) {
             noteFailure();
             sleepFor(retryPause(), fiber);
         }
@@ -66,12 +63,10 @@
 
 void StoreWatch::noteNewer(std::uint64_t revision)
 {
-    if (!m_complete || revision <= m_log.at())
+    if (!m_complete)
         return;
-    if (!m_behindSince)
-        m_behindSince = now();
-    // The peer through which the store is followed should have told by now, so it is stuck or cut off.
-    if (now() - *m_behindSince < LongestBehind || now() < m_directUntil)
+    m_lag.heard(revision, m_log.at(), now());
+    if (!m_lag.isTooLong(now()) || now() < m_directUntil)
         return;
     m_directUntil = now() + DirectTime;
     m_feed.cancel();
@@ -84,8 +79,10 @@
         return std::nullopt;
     const Instant time = now();
     FeedAnswer answer{std::move(*changes), m_log.at(), std::nullopt, {}};
-    if (const auto age = m_state.freshness.age(time))
-        answer.confirmedAge = std::chrono::ceil<milliseconds>(*age);
+    // The table may be confirmed by other peers, but what followers get is as old as this instance's own
+    // reading.
+    if (m_knownAt != Instant{})
+        answer.confirmedAge = std::chrono::ceil<milliseconds>(std::max(time - m_knownAt, Instant{}));
     answer.lapseLeft =
         std::chrono::ceil<milliseconds>(std::max(m_state.catalog.lapseUntil() - time, Instant{}));
     return answer;
@@ -111,10 +108,12 @@
     take(answer->items, answer->at);
     // An empty answer was sent after the whole wait, any other one at some time since the call.
     const bool waited = answer->items.empty() && now() - start >= FeedWait;
-    if (answer->confirmedAge)
-        confirm((waited ? start + FeedWait : start) - *answer->confirmedAge);
-    if (isFresh)
-        noteSuccess();
+    if (answer->confirmedAge) {
+        const Instant knownAt = (waited ? start + FeedWait : start) - *answer->confirmedAge;
+        confirm(knownAt);
+        if (isFresh)
+            noteSuccess(knownAt);
+    }
     return isFresh;
 }
 
@@ -125,7 +124,7 @@
         m_log.add(item);
     }
     m_log.advance(at);
-    m_behindSince.reset();
+    m_lag.reached(m_log.at());
     if (!items.empty())
         m_handlers.changed();
 }
@@ -135,14 +134,14 @@
     return m_reachable ? std::chrono::duration_cast<milliseconds>(now - m_reachableSince) : milliseconds(0);
 }
 
-void StoreWatch::noteSuccess()
+void StoreWatch::noteSuccess(Instant knownAt)
 {
-    m_lastAnswerAt = now();
+    m_knownAt = std::max(m_knownAt, knownAt);
     if (m_reachable)
         return;
     m_reachable = true;
-    m_reachableSince = m_lastAnswerAt;
-    m_state.catalog.storeRegained(m_lastAnswerAt);
+    m_reachableSince = now();
+    m_state.catalog.storeRegained(m_reachableSince);
     log(LogLevel::Info, "store-regained", {{"revision", static_cast<std::int64_t>(m_log.at())}});
 }
 
@@ -156,7 +155,7 @@
     if (m_reachable)
         log(LogLevel::Warning, "store-lost", {{"reason", m_client.lastReason()}});
     m_reachable = false;
-    m_state.catalog.storeLost(m_lastAnswerAt);
+    m_state.catalog.storeLost(m_knownAt);
 }
 
 void StoreWatch::confirm(Instant at)
@@ -190,6 +189,7 @@
     m_log.restart(firstAt);
     m_complete = true;
     confirm(start);
+    noteSuccess(start);
     return true;
 }
 
@@ -218,7 +218,9 @@
     take(changes->items, changes->at);
     // An empty answer comes after the whole wait, at the end of which nothing had changed.
     const bool waited = changes->items.empty() && now() - start >= m_wait;
-    confirm(waited ? start + m_wait : start);
+    const Instant knownAt = waited ? start + m_wait : start;
+    confirm(knownAt);
+    noteSuccess(knownAt);
     return true;
 }
 
--- a/src/daemon/storewatch.h
+++ b/src/daemon/storewatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutsill/policy/revisionlag.h"
 #include "chestnutsill/router/router.h"
 #include "daemon/peerfeed.h"
 #include "platform/store.h"
@@ -56,7 +57,7 @@
     void withdrawMissing(const std::set<std::string> &seen, std::uint64_t at, Instant time);
     void confirm(Instant at);
     void noteFailure();
-    void noteSuccess();
+    void noteSuccess(Instant knownAt);
     [[nodiscard]] milliseconds retryPause();
 
     platform::StoreClient m_client;
@@ -69,11 +70,11 @@
     bool m_complete = false;
     bool m_reachable = false;
     Instant m_reachableSince{};
-    Instant m_lastAnswerAt{};
+    /// The last instant of which the store's state is known.
+    Instant m_knownAt{};
     /// Until when the store itself is asked although there is a peer to follow it through.
     Instant m_directUntil{};
-    /// Since when a peer is known to have read more.
-    std::optional<Instant> m_behindSince;
+    RevisionLag m_lag;
 };
 
 } // namespace chestnutsill
--- a/tests/policy/catalogtest.cpp
+++ b/tests/policy/catalogtest.cpp
@@ -1,4 +1,5 @@
 #include "chestnutsill/policy/catalog.h"
+#include "chestnutsill/policy/revisionlag.h"
 
 #include <doctest/doctest.h>
 
@@ -136,3 +137,18 @@
     catalog.suspectRestart("u1", seconds(30));
     CHECK(catalog.find("u1")->coldUntil == seconds(33));
 }
+
+TEST_CASE("revision lag: answers that bring nothing new don't hide that peers have read more")
+{
+    RevisionLag lag;
+    lag.heard(12, 10, seconds(1));
+    CHECK_FALSE(lag.isTooLong(seconds(1) + milliseconds(299)));
+    lag.reached(10);
+    CHECK(lag.isTooLong(seconds(1) + RevisionLag::Longest));
+    lag.heard(11, 10, seconds(2));
+    CHECK(lag.isTooLong(seconds(2)));
+    lag.reached(12);
+    CHECK_FALSE(lag.isTooLong(seconds(3)));
+    lag.heard(12, 12, seconds(4));
+    CHECK_FALSE(lag.isTooLong(seconds(5)));
+}
