Follow the hub of another zone before the store itself is asked

Cause: an instance whose own way of following the store failed asked the store directly for 3 s.

Ruled out: longer pauses between failed calls alone, since most of the calls were waiting ones that each change answers.

Change: FeedChoice. A way that fails is passed over for 3 s. A member follows the hub of its zone, then those of the others, then the store; a hub the store, then other hubs. Ages add up along the way, as before. A way whose news others have had for 0.3 s counts as failed, and the next one gets as long.

--- a/include/chestnutsill/policy/fleet.h
+++ b/include/chestnutsill/policy/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutsill/policy/feedchoice.h"
 #include "chestnutsill/policy/instant.h"
 
 #include <cstddef>
@@ -135,6 +136,10 @@
     };
     [[nodiscard]] HubTargets hubTargets(Instant now) const;
 
+    /// Whom to follow the store through in a large fleet: the hub of the own zone first, then those of the
+    /// others, in an order that differs from instance to instance. Names nobody in a small fleet.
+    [[nodiscard]] FeedPeers feedPeers(Instant now) const;
+
     /// Instances to introduce, and signs of life of all, for the heartbeat of a turn.
     [[nodiscard]] std::vector<InstanceNews> newsToPass(Instant now, std::uint64_t turn) const;
     [[nodiscard]] std::vector<LifeSign> signsToPass(Instant now) const;
--- a/include/chestnutsill/policy/revisionlag.h
+++ b/include/chestnutsill/policy/revisionlag.h
@@ -33,6 +33,13 @@
             m_since.reset();
     }
 
+    /// Gives another way of following the store as long as the one before it had.
+    void restart(Instant now) noexcept
+    {
+        if (m_since)
+            m_since = now;
+    }
+
     /// Whether it has been behind for too long.
     [[nodiscard]] bool isTooLong(Instant now) const noexcept { return m_since && now - *m_since >= Longest; }
 
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -96,8 +96,8 @@
                   {settings.bounds.repeatRatio, settings.bounds.repeatSlack, settings.bounds.repeatWindow})
         , m_router(routerSettings(settings), platform::wireInterface(), m_state)
         , m_store(settings.store, WatchWait, m_state,
-                  {[this](std::string_view text) { offerTable(text); }, [this] { return feeder(); },
-                   [this] { m_feed.wake(); }})
+                  {[this](std::string_view text) { offerTable(text); },
+                   [this] { return m_state.fleet.feedPeers(now()); }, [this] { m_feed.wake(); }})
         , m_feed([this](std::uint64_t after) { return m_store.feedAnswer(after); })
         , m_fleet(m_io, peerAddress(settings.ip, settings), seedAddresses(settings), m_state,
                   {[this] { return self(); }, [this] { return m_store.revision(); },
@@ -221,16 +221,6 @@
                          fiber);
     }
 
-    /// In a large fleet one instance of each availability zone reads the store for the others.
-    [[nodiscard]] std::string feeder() const
-    {
-        const Instant time = now();
-        if (!m_state.fleet.isLarge(time))
-            return {};
-        const Fleet::HubTargets targets = m_state.fleet.hubTargets(time);
-        return targets.isHub || targets.hubs.empty() ? std::string() : targets.hubs.front();
-    }
-
     void answerPeer(Exchange &exchange, const Fiber &fiber)
     {
         if (!exchange.request().fault && exchange.request().target.starts_with(FeedPath)) {
--- a/src/daemon/storewatch.cpp
+++ b/src/daemon/storewatch.cpp
@@ -24,8 +24,6 @@
 constexpr milliseconds FeedWait{700};
 constexpr milliseconds FeedTimeout{300};
 constexpr milliseconds OldestFeed{2500};
-/// How long the store itself is asked after a peer that was followed has fallen behind.
-constexpr milliseconds DirectTime{3000};
 
 std::string faultText(const Faults &faults)
 {
@@ -51,11 +49,16 @@
 void StoreWatch::run(const Fiber &fiber)
 {
     for (;;) {
-        const std::string peer = m_complete && now() >= m_directUntil ? m_handlers.feeder() : std::string();
-        if (!peer.empty() && followPeer(peer, fiber))
+        const FeedPeers peers = m_complete ? m_handlers.feedPeers() : FeedPeers{};
+        m_feedPeer = m_choice.next(peers, now());
+        if (!m_feedPeer.empty()) {
+            if (!followPeer(m_feedPeer, fiber))
+                m_choice.peerFailed(m_feedPeer, now());
             continue;
+        }
         if (!(m_complete ? followStore(fiber) : readAll(fiber))) {
-            noteFailure();
+            m_choice.storeFailed(now());
+            noteFailure(m_choice.hasPeer(peers, now()));
             sleepFor(retryPause(), fiber);
         }
     }
@@ -66,9 +69,10 @@
     if (!m_complete)
         return;
     m_lag.heard(revision, m_log.at(), now());
-    if (!m_lag.isTooLong(now()) || now() < m_directUntil)
+    if (!m_lag.isTooLong(now()) || m_feedPeer.empty())
         return;
-    m_directUntil = now() + DirectTime;
+    // The next way gets as long as this one had.
+    m_lag.restart(now());
     m_feed.cancel();
 }
 
@@ -94,7 +98,6 @@
     const auto answer = m_feed.follow(peer, m_log.at(), FeedWait, FeedWait + FeedTimeout, fiber);
     const bool isFresh = answer && answer->confirmedAge && *answer->confirmedAge <= OldestFeed;
     if (!isFresh) {
-        m_directUntil = now() + DirectTime;
         log(LogLevel::Info, "peer-feed-left",
             {{"peer", peer},
              {"reason", answer ? std::string("its confirmation is too old") : m_feed.lastReason()},
@@ -145,13 +148,17 @@
     log(LogLevel::Info, "store-regained", {{"revision", static_cast<std::int64_t>(m_log.at())}});
 }
 
-void StoreWatch::noteFailure()
+void StoreWatch::noteFailure(bool hasPeer)
 {
     if (m_client.lastFailure() == platform::StoreFailure::HistoryGone) {
         m_complete = false;
         log(LogLevel::Info, "store-history-gone", {{"revision", static_cast<std::int64_t>(m_log.at())}});
         return;
     }
+    if (hasPeer && m_complete) {
+        log(LogLevel::Info, "store-passed-over", {{"reason", m_client.lastReason()}});
+        return;
+    }
     if (m_reachable)
         log(LogLevel::Warning, "store-lost", {{"reason", m_client.lastReason()}});
     m_reachable = false;
--- a/src/daemon/storewatch.h
+++ b/src/daemon/storewatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutsill/policy/feedchoice.h"
 #include "chestnutsill/policy/revisionlag.h"
 #include "chestnutsill/router/router.h"
 #include "daemon/peerfeed.h"
@@ -24,8 +25,8 @@
     {
         /// Called with each published routing table as text, before it is in force.
         std::function<void(std::string_view text)> table;
-        /// Address of the peer to follow the store through; empty for none.
-        std::function<std::string()> feeder;
+        /// Peers to follow the store through.
+        std::function<FeedPeers()> feedPeers;
         /// Called when peers that follow the store through this instance can be told more.
         std::function<void()> changed;
     };
@@ -56,7 +57,7 @@
     void apply(const PublishedItem &item, Instant time);
     void withdrawMissing(const std::set<std::string> &seen, std::uint64_t at, Instant time);
     void confirm(Instant at);
-    void noteFailure();
+    void noteFailure(bool hasPeer);
     void noteSuccess(Instant knownAt);
     [[nodiscard]] milliseconds retryPause();
 
@@ -72,8 +73,9 @@
     Instant m_reachableSince{};
     /// The last instant of which the store's state is known.
     Instant m_knownAt{};
-    /// Until when the store itself is asked although there is a peer to follow it through.
-    Instant m_directUntil{};
+    FeedChoice m_choice;
+    /// The peer that is being followed; empty for none.
+    std::string m_feedPeer;
     RevisionLag m_lag;
 };
 
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -136,6 +136,31 @@
     return targets;
 }
 
+FeedPeers Fleet::feedPeers(Instant now) const
+{
+    FeedPeers peers;
+    if (!isLarge(now))
+        return peers;
+    const std::string ownHub = hubOf(m_ownZone, now);
+    peers.storeFirst = ownHub == m_ownName;
+    std::set<std::string> zones;
+    for (const auto &[name, known] : m_known) {
+        if (known.news.zone != m_ownZone && isAlive(known, now))
+            zones.insert(known.news.zone);
+    }
+    std::vector<std::pair<std::uint64_t, std::string>> others;
+    for (const std::string &zone : zones)
+        others.emplace_back(stableHash(m_ownName, stableHash(zone)), hubOf(zone, now));
+    std::sort(others.begin(), others.end());
+    if (!peers.storeFirst)
+        others.insert(others.begin(), {0, ownHub});
+    for (const auto &[rank, name] : others) {
+        if (const auto found = m_known.find(name); found != m_known.end())
+            peers.addresses.push_back(found->second.news.peerAddress);
+    }
+    return peers;
+}
+
 bool Fleet::isAlive(const Known &known, Instant now) const
 {
     const milliseconds limit = m_known.size() > MostDirect ? LargeDeadAfter : DeadAfter;
