An upstream that fails the rest of a stream doesn't end it as complete

In the log: attempt-failed with status 500, then request-ended with status 200.

Ruled out: a crossing of two runs (one attempt at a time), lost events at the splitter (the events before it were whole).

Change: once a part of a stream has reached the caller, only events may follow; any other answer counts as a failure of that upstream, and is repeated or breaks off.

--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -94,10 +94,15 @@
             }
             const HttpHead passed{head->status, std::move(reply.fields), head->length, head->keepAlive};
             const bool isStream = call.route->kind == RouteKind::Streaming && head->status == StatusOk;
-            if (isStream)
+            if (isStream) {
                 relayEvents(call, attempt, passed, fiber);
-            else
+            } else if (call.started) {
+                // Only events can follow those that the caller has got.
+                setFailed(attempt, AttemptResult::Failed, "upstream-error");
+                reply.idleLife.reset();
+            } else {
                 relayWhole(call, attempt, passed, fiber);
+            }
         } else {
             // The rest of the response is read, so that the connection can be used again.
             std::optional<std::string> piece;
--- a/tests/entry/faulttest.cpp
+++ b/tests/entry/faulttest.cpp
@@ -113,6 +113,24 @@
     }
 }
 
+TEST_CASE("fault: an upstream that fails the rest of a stream doesn't make it look complete")
+{
+    Site site("resumefail");
+    site.addUpstream("chat-1", "chat");
+    site.addUpstream("chat-2", "chat");
+    site.start(1);
+    REQUIRE(site.waitReady());
+    const auto begun = [&] { return site.runsOf("f0") + site.runsOf("f1"); };
+    for (const int cut : {0, 1}) {
+        Site::order(site.upstreamAt(static_cast<std::size_t>(cut)), R"({"mode":"cut"})");
+        Site::order(site.upstreamAt(static_cast<std::size_t>(1 - cut)), R"({"mode":"error"})");
+        const auto answer = site.call(0, callTo("/stream/x", "f" + std::to_string(cut)));
+        if (answer)
+            CHECK(answer->head.status == 500);
+    }
+    CHECK(begun() > 2);
+}
+
 TEST_CASE("fault: a stream that may not be resumed ends visibly broken, and runs once")
 {
     Site site("broken");
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -85,7 +85,7 @@
         const HttpRequest &request = exchange.request();
         note(request, id);
         const std::vector<HttpField> fields{{"X-Attempt-Id", id}, {"X-Server-Seal", m_id + '.' + id}};
-        if (request.target.find("/stream") != std::string::npos)
+        if (request.target.find("/stream") != std::string::npos && m_mode != "error")
             return stream(exchange, fields, fiber);
         sleepFor(milliseconds(m_workMs), fiber);
         if (m_mode == "mute")
