An emulator of engines, and a tool that plays placing against baselines

chestnutsill-emulate plays a scenario (JSON, checked, faults by field) in made-up time: engines with continuous batching, prompts read in chunks, a prefix cache with eviction, priority and preemption; open-loop load with bursts and outages; instances that each see the others by heartbeats, directly or through hubs, with the product's own LoadBook, PartCache and place(). Baselines: the less busy of two, and rendezvous hash of the shared part.

What keeps pause-sensitive streams apart moved from the router to placing, so that both use it.

--- /dev/null
+++ b/emulator/engine.cpp
@@ -0,0 +1,170 @@
+#include "engine.h"
+
+#include <algorithm>
+
+namespace chestnutsill::emulator {
+
+namespace {
+
+constexpr double PairsInMillion = 1e6;
+constexpr double TokensInThousand = 1000;
+
+/// Tokens of a prompt's shared parts, all but the last one.
+double sharedTokens(const Prompt &prompt)
+{
+    double tokens = 0;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+        tokens += prompt.parts[i].tokens;
+    return tokens;
+}
+
+} // namespace
+
+bool Engine::isMoreUrgent(const Run &a, const Run &b) noexcept
+{
+    return a.request.rank != b.request.rank ? a.request.rank < b.request.rank : a.order < b.order;
+}
+
+void Engine::add(EngineRequest request)
+{
+    Run run{std::move(request), 0, 0, 0, m_nextOrder++, 0};
+    m_waiting.insert(std::upper_bound(m_waiting.begin(), m_waiting.end(), run, isMoreUrgent), std::move(run));
+}
+
+void Engine::cancel(std::uint64_t request)
+{
+    m_canceled.insert(request);
+}
+
+double Engine::tokensHeld() const
+{
+    double tokens = 0;
+    for (const Run &run : m_running)
+        tokens += run.request.prompt.tokens + run.made;
+    return tokens;
+}
+
+double Engine::cachedTokens(const Prompt &prompt) const
+{
+    double tokens = 0;
+    for (const PromptPart &part : prompt.parts) {
+        if (!m_cached.contains(part.id))
+            break;
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+void Engine::keep(const Prompt &prompt)
+{
+    // From the last part to the first, since a part is of no use once one before it has gone.
+    for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part) {
+        if (const auto known = m_cached.find(part->id); known != m_cached.end()) {
+            m_cache.splice(m_cache.end(), m_cache, known->second);
+            continue;
+        }
+        m_cached[part->id] = m_cache.insert(m_cache.end(), *part);
+        m_cacheTokens += part->tokens;
+    }
+}
+
+void Engine::makeRoom()
+{
+    // Running requests hold their own copy of what they have read, cached parts have what is left.
+    double held = tokensHeld();
+    while (held > m_shape.memoryTokens && m_running.size() > 1) {
+        const auto newest = std::max_element(m_running.begin(), m_running.end(), isMoreUrgent);
+        held -= newest->request.prompt.tokens + newest->made;
+        Run run = std::move(*newest);
+        m_running.erase(newest);
+        run.unread = run.request.prompt.tokens + run.made;
+        run.sharedUnread = 0;
+        m_waiting.insert(std::upper_bound(m_waiting.begin(), m_waiting.end(), run, isMoreUrgent),
+                         std::move(run));
+        ++m_preempted;
+    }
+    while (m_cacheTokens > std::max(m_shape.memoryTokens - held, 0.0) && !m_cache.empty()) {
+        m_cacheTokens -= m_cache.front().tokens;
+        m_cached.erase(m_cache.front().id);
+        m_cache.pop_front();
+    }
+}
+
+void Engine::admit()
+{
+    double held = tokensHeld();
+    while (!m_waiting.empty() && static_cast<int>(m_running.size()) < m_shape.slots) {
+        Run &next = m_waiting.front();
+        const double tokens = next.request.prompt.tokens + next.made;
+        if (held + tokens > m_shape.memoryTokens && !m_running.empty())
+            break;
+        if (next.made == 0) {
+            const double cached = cachedTokens(next.request.prompt);
+            const double shared = sharedTokens(next.request.prompt);
+            next.unread = std::max(next.request.prompt.tokens - cached, 1.0);
+            next.sharedUnread = std::max(shared - cached, 0.0);
+        }
+        held += tokens;
+        m_running.push_back(std::move(next));
+        m_waiting.erase(m_waiting.begin());
+    }
+}
+
+void Engine::planReading()
+{
+    std::vector<Run *> order;
+    for (Run &run : m_running) {
+        run.chunk = 0;
+        if (run.unread > 0)
+            order.push_back(&run);
+    }
+    std::sort(order.begin(), order.end(), [](const Run *a, const Run *b) { return isMoreUrgent(*a, *b); });
+    double left = m_shape.chunkTokens;
+    for (Run *run : order) {
+        run->chunk = std::min(run->unread, left);
+        left -= run->chunk;
+    }
+}
+
+double Engine::begin()
+{
+    const auto isCanceled = [&](const Run &run) { return m_canceled.contains(run.request.id); };
+    std::erase_if(m_waiting, isCanceled);
+    std::erase_if(m_running, isCanceled);
+    m_canceled.clear();
+    admit();
+    makeRoom();
+    planReading();
+    double ms = m_shape.stepMs + m_shape.stepPerRunningMs * static_cast<double>(m_running.size())
+                + m_shape.stepPerThousandTokensMs * tokensHeld() / TokensInThousand;
+    for (const Run &run : m_running) {
+        const double before = run.request.prompt.tokens + run.made - run.unread;
+        ms += run.chunk / m_shape.readTokensPerMs
+              + m_shape.readMsPerMillionPairs * run.chunk * (before + run.chunk / 2) / PairsInMillion;
+    }
+    return ms / m_speed;
+}
+
+std::vector<EngineEvent> Engine::end()
+{
+    std::vector<EngineEvent> events;
+    for (Run &run : m_running) {
+        if (run.unread > 0) {
+            run.unread -= run.chunk;
+            m_tokensRead += run.chunk;
+            if (run.unread > 0)
+                continue;
+            m_sharedRead += run.sharedUnread;
+            run.sharedUnread = 0;
+            keep(run.request.prompt);
+        }
+        ++run.made;
+        const bool done = run.made >= run.request.outputTokens;
+        if (done || run.made % m_shape.tokensPerEvent == 0)
+            events.push_back({run.request.id, done});
+    }
+    std::erase_if(m_running, [](const Run &run) { return run.made >= run.request.outputTokens; });
+    return events;
+}
+
+} // namespace chestnutsill::emulator
--- /dev/null
+++ b/emulator/fleetpicture.cpp
@@ -0,0 +1,104 @@
+#include "fleetpicture.h"
+
+#include "chestnutsill/policy/fleet.h"
+
+namespace chestnutsill::emulator {
+
+FleetPicture::FleetPicture(int instances, int zones)
+    : m_zones(std::min(zones, instances))
+    , m_members(static_cast<std::size_t>(instances))
+    , m_elsewhere(static_cast<std::size_t>(m_zones))
+{
+    for (int i = 0; i < instances; ++i) {
+        member(i).name = "i" + std::to_string(i);
+        for (int zone = 0; zone < m_zones; ++zone) {
+            if (zone != zoneOf(i))
+                m_elsewhere[static_cast<std::size_t>(zone)].insert(member(i).name);
+        }
+    }
+}
+
+bool FleetPicture::isLarge() const
+{
+    return m_members.size() > Fleet::MostDirect + 1;
+}
+
+void FleetPicture::beat(int instance, Instant now)
+{
+    Member &from = member(instance);
+    const int count = static_cast<int>(m_members.size());
+    std::vector<int> receivers;
+    if (!isLarge()) {
+        for (int i = 0; i < count; ++i) {
+            if (i == instance)
+                continue;
+            member(i).loads.hear(from.name, from.loads.own(), now);
+            receivers.push_back(i);
+        }
+        tellCopies(from, instance, receivers, false);
+        return;
+    }
+    const int hub = zoneOf(instance);
+    if (instance != hub) {
+        member(hub).loads.hear(from.name, from.loads.own(), now);
+        tellCopies(from, instance, {hub}, true);
+        return;
+    }
+    const auto sums = from.loads.sumWithout(m_elsewhere[static_cast<std::size_t>(hub)], now);
+    for (int other = 0; other < m_zones; ++other) {
+        if (other == hub)
+            continue;
+        member(other).loads.hear(from.name, sums, now);
+        receivers.push_back(other);
+    }
+    for (int i = hub + m_zones; i < count; i += m_zones) {
+        member(i).loads.hear(from.name, from.loads.sumWithout({member(i).name}, now), now);
+        receivers.push_back(i);
+    }
+    tellCopies(from, instance, receivers, true);
+}
+
+void FleetPicture::tellCopies(Member &from, int instance, const std::vector<int> &receivers, bool tellOn)
+{
+    for (const PartCopy &copy : from.parts.news()) {
+        for (const int receiver : receivers)
+            member(receiver).parts.hear(copy, tellOn && receiver < m_zones && instance != receiver);
+    }
+}
+
+void FleetPicture::begin(int instance, const std::string &upstream, const Prompt &prompt, double unreadTokens,
+                         double memoryTokens)
+{
+    member(instance).loads.begin(upstream, unreadTokens);
+    member(instance).parts.store(upstream, prompt, static_cast<std::uint64_t>(memoryTokens));
+}
+
+void FleetPicture::read(int instance, const std::string &upstream, double unreadTokens)
+{
+    member(instance).loads.read(upstream, unreadTokens);
+}
+
+void FleetPicture::end(int instance, const std::string &upstream)
+{
+    member(instance).loads.end(upstream);
+}
+
+void FleetPicture::forget(const std::string &upstream)
+{
+    for (Member &each : m_members)
+        each.parts.forget(upstream);
+}
+
+PlacingCandidate FleetPicture::candidate(int instance, const std::string &upstream, int slots,
+                                         const Prompt &prompt, Instant now) const
+{
+    const Member &viewer = m_members[static_cast<std::size_t>(instance)];
+    const Load load = viewer.loads.total(upstream, now);
+    return {.upstream = upstream,
+            .slots = slots,
+            .running = load.running,
+            .unreadTokens = load.unreadTokens,
+            .cachedTokens = viewer.parts.cachedTokens(upstream, prompt)};
+}
+
+} // namespace chestnutsill::emulator
--- /dev/null
+++ b/emulator/main.cpp
@@ -0,0 +1,145 @@
+#include "world.h"
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace chestnutsill;
+using namespace chestnutsill::emulator;
+
+constexpr int BadUsage = 2;
+constexpr double Percent = 100;
+
+double percentile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+double percent(std::size_t part, std::size_t whole)
+{
+    return whole == 0 ? 0 : Percent * static_cast<double>(part) / static_cast<double>(whole);
+}
+
+/// Adds up the results of several seeds.
+Result sum(const std::vector<Result> &results)
+{
+    Result total = results.front();
+    for (std::size_t i = 1; i < results.size(); ++i) {
+        total.tokensRead += results[i].tokensRead;
+        total.sharedReadAgain += results[i].sharedReadAgain;
+        total.wasted += results[i].wasted;
+        total.preempted += results[i].preempted;
+        for (std::size_t c = 0; c < total.classes.size(); ++c) {
+            ClassResult &into = total.classes[c];
+            const ClassResult &from = results[i].classes[c];
+            into.offered += from.offered;
+            into.onTime += from.onTime;
+            into.late += from.late;
+            into.owed += from.owed;
+            into.earned += from.earned;
+            into.firstMs.insert(into.firstMs.end(), from.firstMs.begin(), from.firstMs.end());
+        }
+    }
+    return total;
+}
+
+void print(const std::string &policy, const std::vector<Result> &results)
+{
+    constexpr double Million = 1e6;
+    const Result total = sum(results);
+    double lowest = 1;
+    double highest = 0;
+    for (const Result &result : results) {
+        lowest = std::min(lowest, result.worth());
+        highest = std::max(highest, result.worth());
+    }
+    std::cout << std::fixed << std::setprecision(3) << "| " << policy << " | all | " << total.worth() << " ("
+              << lowest << "-" << highest << ") | | | | | " << std::setprecision(2)
+              << total.tokensRead / Million << " | " << total.sharedReadAgain / Million << " | "
+              << total.preempted << " |\n";
+    for (const ClassResult &each : total.classes) {
+        const std::size_t failed = each.offered - each.onTime - each.late;
+        std::cout << "| " << policy << " | " << each.name << " | " << std::setprecision(3)
+                  << (each.owed > 0 ? each.earned / each.owed : 0) << " | " << std::setprecision(1)
+                  << percent(each.onTime, each.offered) << " | " << percent(each.late, each.offered) << " | "
+                  << percent(failed, each.offered) << " | " << std::setprecision(0)
+                  << percentile(each.firstMs, 0.5) << ", " << percentile(each.firstMs, 0.95) << " | | | |\n";
+    }
+}
+
+std::optional<Scenario> readScenario(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        std::cerr << "cannot read " << path << '\n';
+        return std::nullopt;
+    }
+    Faults faults;
+    auto scenario = parseScenario(text.str(), faults);
+    for (const Fault &fault : faults)
+        std::cerr << path << ": " << fault.path << ' ' << fault.message << '\n';
+    return scenario;
+}
+
+int run(const options::variables_map &values)
+{
+    const auto scenario = readScenario(values["scenario"].as<std::string>());
+    if (!scenario)
+        return BadUsage;
+    std::cout << "| policy | class | worth | on time % | late % | failed % | first event ms, median and 95th "
+                 "percentile | Mtokens read | of shared parts again | preempted |\n"
+                 "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    for (const auto &name : values["policy"].as<std::vector<std::string>>()) {
+        const auto policy = policyOf(name);
+        if (!policy) {
+            std::cerr << "--policy: " << name << " is unknown\n";
+            return BadUsage;
+        }
+        std::vector<Result> results;
+        for (int seed = 1; seed <= std::max(values["seeds"].as<int>(), 1); ++seed)
+            results.push_back(play(*scenario, *policy, static_cast<std::uint64_t>(seed)));
+        print(name, results);
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    options::options_description description("chestnutsill-emulate SCENARIO");
+    description.add_options()("help", "show this text")("scenario", options::value<std::string>(),
+                                                        "JSON file with deployment and load")(
+        "policy", options::value<std::vector<std::string>>()->default_value(policyNames(), "all"),
+        "policy to play; can be given several times")("seeds", options::value<int>()->default_value(1),
+                                                      "number of seeds to play");
+    options::positional_options_description positional;
+    positional.add("scenario", 1);
+    options::variables_map values;
+    try {
+        options::store(
+            options::command_line_parser(argc, argv).options(description).positional(positional).run(),
+            values);
+        options::notify(values);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << '\n';
+        return BadUsage;
+    }
+    if (values.contains("help") || !values.contains("scenario")) {
+        std::cout << description;
+        return values.contains("help") ? 0 : BadUsage;
+    }
+    return run(values);
+}
--- /dev/null
+++ b/emulator/policies.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "chestnutsill/policy/placing.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chestnutsill::emulator {
+
+/// Chooses one of the candidates for a prompt; `seed` differs from request to request. The candidates are
+/// never empty.
+using Policy = std::function<Placement(std::span<const PlacingCandidate> candidates, const Prompt &prompt,
+                                       std::uint64_t seed)>;
+
+/// The policy of this name, or nothing. `place` is the one of the product; `least` takes of two random
+/// upstreams the one with less in progress; `hash` the first by rendezvous hash of the last shared part,
+/// whatever its load.
+[[nodiscard]] std::optional<Policy> policyOf(std::string_view name);
+
+/// Names that `policyOf` knows.
+[[nodiscard]] std::vector<std::string> policyNames();
+
+} // namespace chestnutsill::emulator
--- a/include/chestnutsill/policy/placing.h
+++ b/include/chestnutsill/policy/placing.h
@@ -55,6 +55,14 @@
 /// fewer than four.
 [[nodiscard]] std::vector<bool> markForSensitive(std::span<const std::string_view> upstreams, double share);
 
+/// Whether a stream whose longest pause on time is `pauseMs` bears no longer pauses than others of its
+/// service, of which `shortestMs` is the shortest. Both in milliseconds.
+[[nodiscard]] bool isPauseSensitive(double pauseMs, double shortestMs) noexcept;
+
+/// Keeps pause-sensitive streams and long prompts apart while there is room: sets which candidates are
+/// preferred for a stream that is pause-sensitive or not.
+void preferBySensitivity(std::span<PlacingCandidate> candidates, bool sensitive);
+
 /// Chooses the upstream at which the first token is expected soonest. Reading shared parts again at an
 /// upstream that doesn't hold them counts more than its time, because it also delays all others there; so
 /// each shared part stays at the upstream that ranks first for it by rendezvous hash until that one is
--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -29,6 +29,11 @@
 /// Upstreams that are compared for one request, beside those that hold its shared part. With more, all
 /// instances would send to the one that looked emptiest a moment ago.
 constexpr std::size_t MostCompared = 10;
+/// Part of the upstreams that pause-sensitive streams go to first.
+constexpr double SensitiveShare = 0.25;
+/// A stream is pause-sensitive when its longest pause on time is under this many times the shortest of its
+/// service.
+constexpr double SensitiveRatio = 1.5;
 /// Width of the random part of a cost, in milliseconds, so that instances with the same view don't all choose
 /// alike.
 constexpr double JitterMs = 1;
@@ -122,6 +127,22 @@
     return marks;
 }
 
+bool isPauseSensitive(double pauseMs, double shortestMs) noexcept
+{
+    return pauseMs < SensitiveRatio * shortestMs;
+}
+
+void preferBySensitivity(std::span<PlacingCandidate> candidates, bool sensitive)
+{
+    std::vector<std::string_view> ids;
+    ids.reserve(candidates.size());
+    for (const PlacingCandidate &candidate : candidates)
+        ids.push_back(candidate.upstream);
+    const auto marks = markForSensitive(ids, SensitiveShare);
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        candidates[i].preferred = marks[i] == sensitive;
+}
+
 std::optional<Placement> place(std::span<const PlacingCandidate> candidates, const Prompt &prompt,
                                const PlacingSpeed &speed, std::uint64_t seed)
 {
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -10,14 +10,8 @@
 
 namespace {
 
-/// Part of the upstreams that pause-sensitive streams go to first.
-constexpr double SensitiveShare = 0.25;
-/// A route is pause-sensitive when its longest pause on time is under this many times the shortest of its
-/// service.
-constexpr double SensitiveRatio = 1.5;
-
 /// Whether the streams of a route bear no longer pauses than those of any other route of the service.
-bool isPauseSensitive(const RoutedCall &call)
+bool bearsNoPause(const RoutedCall &call)
 {
     milliseconds shortest = milliseconds::max();
     for (const Route &route : call.table->routes) {
@@ -27,8 +21,8 @@
         if (sameService && route.pauseTarget > milliseconds(0))
             shortest = std::min(shortest, route.pauseTarget);
     }
-    return static_cast<double>(call.route->pauseTarget.count())
-           < SensitiveRatio * static_cast<double>(shortest.count());
+    return isPauseSensitive(static_cast<double>(call.route->pauseTarget.count()),
+                            static_cast<double>(shortest.count()));
 }
 
 /// Keeps pause-sensitive streams and long prompts apart while there is room.
@@ -36,14 +30,7 @@
 {
     if (call.service == nullptr || !call.service->engine)
         return;
-    std::vector<std::string_view> ids;
-    ids.reserve(candidates.size());
-    for (const PlacingCandidate &candidate : candidates)
-        ids.push_back(candidate.upstream);
-    const auto marks = markForSensitive(ids, SensitiveShare);
-    const bool sensitive = isPauseSensitive(call);
-    for (std::size_t i = 0; i < candidates.size(); ++i)
-        candidates[i].preferred = marks[i] == sensitive;
+    preferBySensitivity(candidates, bearsNoPause(call));
 }
 
 /// The names of all live instances, this one included.
