Calls at the store are at least 100 ms apart while changes come

Ruled out: one reader for all hubs, since nobody would then notice that it is stuck.

Change: after an answer with changes the next call waits until 100 ms after the last one began; it answers all that came meanwhile.

--- a/src/daemon/storewatch.cpp
+++ b/src/daemon/storewatch.cpp
@@ -18,6 +18,10 @@
 constexpr milliseconds ShortestPause{80};
 constexpr milliseconds LongestPause{250};
 
+/// Shortest time from one waiting call at the store to the next: changes often come in quick succession, and
+/// each call answers all that came before it.
+constexpr milliseconds CallGap{100};
+
 /// How long a call to a peer waits for changes, the time that it may take beside, and the oldest confirmation
 /// of a peer that is followed. Together they keep a follower of a stuck peer well within the time to apply a
 /// change.
@@ -228,6 +232,8 @@
     const Instant knownAt = waited ? start + m_wait : start;
     confirm(knownAt);
     noteSuccess(knownAt);
+    if (const Instant passed = now() - start; passed < CallGap)
+        sleepFor(std::chrono::duration_cast<milliseconds>(CallGap - passed), fiber);
     return true;
 }
 
