Cold upstreams are compared by those who may send, and upstreams for quick streams grow

They were cold after a crash of 35 in 100: two instances may send to each, and each of them compared it with one request in nine, since only ten upstreams of many are compared. The twenty engines kept for quick streams took 16 a second each, the rest went where long prompts are read.

Change: an instance that may send to a cold upstream now compares it for every request and for any kind; others leave it out. The upstreams kept for quick streams grow from a quarter to at most 0.7 while more than 0.3 of their slots are in use. What it counts as to read a long prompt there grows with the streams that it would pause; a quick stream elsewhere counts 500 ms.

--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -37,7 +37,6 @@
     for (std::size_t i = 1; i < results.size(); ++i) {
         total.tokensRead += results[i].tokensRead;
         total.sharedReadAgain += results[i].sharedReadAgain;
-        total.wasted += results[i].wasted;
         total.fetched += results[i].fetched;
         total.preempted += results[i].preempted;
         for (std::size_t c = 0; c < total.classes.size(); ++c) {
--- a/include/chestnutsill/policy/coldshare.h
+++ b/include/chestnutsill/policy/coldshare.h
@@ -20,12 +20,18 @@
     /// Part of what an upstream bears that all senders together use.
     static constexpr double UsedPart = 0.75;
 
-    /// Whether this instance may send one more request to a cold upstream now; counts it if so. `perSecond`
-    /// is the rate that the upstream bears from all instances, `instances` the names of the live ones, this
-    /// one included.
+    /// Whether this instance may send one more request to a cold upstream now. `perSecond` is the rate that
+    /// the upstream bears from all instances, `instances` the names of the live ones, this one included.
+    [[nodiscard]] bool mayAdmit(std::string_view upstream, double perSecond, std::string_view ownName,
+                                std::span<const std::string> instances, Instant now) const;
+
+    /// The same, and counts the request if it may be sent.
     [[nodiscard]] bool admit(std::string_view upstream, double perSecond, std::string_view ownName,
                              std::span<const std::string> instances, Instant now);
 
+    /// Records that this instance sends a request to a cold upstream, which it may.
+    void noteSent(std::string_view upstream, Instant now);
+
     /// Whether this instance is one of the senders to an upstream.
     [[nodiscard]] static bool isSender(std::string_view upstream, std::string_view ownName,
                                        std::span<const std::string> instances);
--- a/include/chestnutsill/policy/placing.h
+++ b/include/chestnutsill/policy/placing.h
@@ -27,6 +27,11 @@
     double failureShare = 0;
     /// Whether it is one of those that requests of this kind go to first.
     bool preferred = true;
+    /// What it counts as if it is not, in milliseconds.
+    double apartMs = 0;
+    /// Whether only few instances may send to it now, so that it stays idle if they don't. It is compared for
+    /// each request, and used for any kind.
+    bool scarce = false;
     /// Whether it is in the availability zone of this instance.
     bool sameZone = false;
 };
@@ -55,18 +60,19 @@
     std::optional<std::size_t> source;
 };
 
-/// Marks the upstreams that pause-sensitive streams go to first: about `share` of them, at least two. The
-/// others read the long prompts, which would pause those streams. The order is a hash of the ids, so that
-/// instances with equal views mark the same ones, and the loss of one moves few. Marks none when there are
-/// fewer than four.
-[[nodiscard]] std::vector<bool> markForSensitive(std::span<const std::string_view> upstreams, double share);
+/// Marks the upstreams that pause-sensitive streams go to first: a quarter, at least two, and more while
+/// those are busy. The others read the long prompts, which would pause those streams. The order is a hash of
+/// the ids, so that instances with equal views mark the same ones, and the loss of one moves few. Marks none
+/// when there are fewer than four.
+[[nodiscard]] std::vector<bool> markForSensitive(std::span<const PlacingCandidate> candidates);
 
 /// Whether a stream whose longest pause on time is `pauseMs` bears no longer pauses than others of its
 /// service, of which `shortestMs` is the shortest. Both in milliseconds.
 [[nodiscard]] bool isPauseSensitive(double pauseMs, double shortestMs) noexcept;
 
 /// Keeps pause-sensitive streams and long prompts apart while there is room: sets which candidates are
-/// preferred for a stream that is pause-sensitive or not.
+/// preferred for a stream that is pause-sensitive or not, and what the others count as. Where few streams run
+/// that could be paused, long prompts may use their upstreams sooner.
 void preferBySensitivity(std::span<PlacingCandidate> candidates, bool sensitive);
 
 /// Chooses the upstream at which the first token is expected soonest. Reading shared parts again that another
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -83,7 +83,6 @@
     [[nodiscard]] std::optional<Answer> authorize(RoutedCall &call) const;
     [[nodiscard]] std::optional<Answer> run(RoutedCall &call, const Fiber &fiber);
     [[nodiscard]] std::vector<PlacingCandidate> candidates(const RoutedCall &call, Instant time) const;
-    [[nodiscard]] bool admitsCold(const RoutedCall &call, const UpstreamRecord &record, Instant time);
     [[nodiscard]] std::optional<Answer> choose(RoutedCall &call, RoutedAttempt &attempt);
     void send(RoutedCall &call, RoutedAttempt &attempt, const Fiber &fiber);
     void receive(RoutedCall &call, RoutedAttempt &attempt, const Fiber &fiber);
--- a/src/policy/coldshare.cpp
+++ b/src/policy/coldshare.cpp
@@ -17,21 +17,33 @@
     return ahead < static_cast<std::ptrdiff_t>(Senders);
 }
 
-bool ColdShare::admit(std::string_view upstream, double perSecond, std::string_view ownName,
-                      std::span<const std::string> instances, Instant now)
+bool ColdShare::mayAdmit(std::string_view upstream, double perSecond, std::string_view ownName,
+                         std::span<const std::string> instances, Instant now) const
 {
-    if (perSecond <= 0 || !isSender(upstream, ownName, instances))
+    if (perSecond <= 0)
         return false;
     // In any second a sender sends at most one request more than its rate. Twice the number of senders, at
     // three quarters of what the upstream bears, thus stay under 1.5 times that and five, which is where it
     // falls over.
     constexpr double MicrosecondsPerSecond = 1e6;
     const Instant pause(static_cast<Instant::rep>(MicrosecondsPerSecond * Senders / (UsedPart * perSecond)));
-    const auto [found, isFirst] = m_lastSent.try_emplace(std::string(upstream), now);
-    if (!isFirst && now - found->second < pause)
+    const auto last = m_lastSent.find(upstream);
+    return (last == m_lastSent.end() || now - last->second >= pause)
+           && isSender(upstream, ownName, instances);
+}
+
+bool ColdShare::admit(std::string_view upstream, double perSecond, std::string_view ownName,
+                      std::span<const std::string> instances, Instant now)
+{
+    if (!mayAdmit(upstream, perSecond, ownName, instances, now))
         return false;
-    found->second = now;
+    noteSent(upstream, now);
     return true;
 }
 
+void ColdShare::noteSent(std::string_view upstream, Instant now)
+{
+    m_lastSent.insert_or_assign(std::string(upstream), now);
+}
+
 } // namespace chestnutsill
--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -22,9 +22,6 @@
 constexpr double FetchWeight = 2;
 /// Time in which a fetch is set up, in milliseconds.
 constexpr double FetchSetupMs = 5;
-/// What it counts as when a part that nobody holds is read at another upstream than the one that ranks first,
-/// in milliseconds: the risk that it is read twice, where the second copy could be fetched later.
-constexpr double NotFirstMs = 60;
 /// How much each millisecond of reading counts for every running request, whose next token it delays.
 constexpr double PauseWeight = 0.05;
 /// What a share of failures of 1 counts as, in milliseconds: more than any queue that is worth waiting for.
@@ -32,13 +29,22 @@
 /// What another availability zone counts as, in milliseconds; breaks ties in favour of traffic that stays
 /// near.
 constexpr double OtherZoneMs = 2;
-/// What an upstream that is kept for requests of another kind counts as, in milliseconds.
-constexpr double NotPreferredMs = 150;
+/// What it counts as to send a pause-sensitive stream where long prompts are read, in milliseconds: about the
+/// time to the first token that such streams bear.
+constexpr double SensitiveApartMs = 500;
+/// What it counts as to send another request where pause-sensitive streams run, in milliseconds, and how much
+/// more for each request that runs there.
+constexpr double OthersApartMs = 100;
+constexpr double OthersApartPerRunningMs = 20;
 /// Upstreams that are compared for one request, beside those that hold its shared part. With more, all
 /// instances would send to the one that looked emptiest a moment ago.
 constexpr std::size_t MostCompared = 10;
-/// Part of the upstreams that pause-sensitive streams go to first.
-constexpr double SensitiveShare = 0.25;
+/// Part of the upstreams that pause-sensitive streams go to first, and how far it grows with their number.
+/// The rest is left to long prompts.
+constexpr double LeastSensitiveShare = 0.25;
+constexpr double MostSensitiveShare = 0.7;
+/// Part of the slots in use at which it grows: with more, the prompts of the streams themselves make pauses.
+constexpr double WidenAt = 0.3;
 /// A stream is pause-sensitive when its longest pause on time is under this many times the shortest of its
 /// service.
 constexpr double SensitiveRatio = 1.5;
@@ -164,7 +170,7 @@
     result.cost = waitMs + readMs + again / speed.promptTokensPerMs * (rereadWeight - 1) + harmMs
                   + result.fetchedTokens / speed.promptTokensPerMs * FetchWeight
                   + candidate.failureShare * FailureMs + (candidate.sameZone ? 0 : OtherZoneMs)
-                  + (candidate.preferred ? 0 : NotPreferredMs) + jitter(candidate.upstream, seed);
+                  + candidate.apartMs + jitter(candidate.upstream, seed);
     if (!isHome && where.known < where.shared)
         result.cost += (where.shared - where.known) / speed.promptTokensPerMs * (rereadWeight - 1);
     return result;
@@ -182,21 +188,32 @@
 
 } // namespace
 
-std::vector<bool> markForSensitive(std::span<const std::string_view> upstreams, double share)
+std::vector<bool> markForSensitive(std::span<const PlacingCandidate> candidates)
 {
     constexpr std::size_t FewestToDivide = 4;
     constexpr std::size_t FewestMarked = 2;
-    std::vector<bool> marks(upstreams.size(), false);
-    if (upstreams.size() < FewestToDivide)
+    const std::size_t total = candidates.size();
+    std::vector<bool> marks(total, false);
+    if (total < FewestToDivide)
         return marks;
     std::vector<std::pair<std::uint64_t, std::size_t>> order;
-    for (std::size_t i = 0; i < upstreams.size(); ++i)
-        order.emplace_back(stableHash(upstreams[i]), i);
+    order.reserve(total);
+    for (std::size_t i = 0; i < total; ++i)
+        order.emplace_back(stableHash(candidates[i].upstream), i);
     std::sort(order.begin(), order.end());
-    const auto wanted = static_cast<std::size_t>(std::lround(share * static_cast<double>(upstreams.size())));
-    const std::size_t count = std::clamp(wanted, FewestMarked, upstreams.size() / 2);
-    for (std::size_t i = 0; i < count; ++i)
+    const auto part = [&](double share) {
+        return static_cast<std::size_t>(std::lround(share * static_cast<double>(total)));
+    };
+    const std::size_t least = std::clamp(part(LeastSensitiveShare), FewestMarked, total / 2);
+    const std::size_t most = std::max(part(MostSensitiveShare), least);
+    int running = 0;
+    double slots = 0;
+    for (std::size_t i = 0; i < most && (i < least || running > WidenAt * slots); ++i) {
+        const PlacingCandidate &candidate = candidates[order[i].second];
         marks[order[i].second] = true;
+        running += candidate.running;
+        slots += candidate.slots;
+    }
     return marks;
 }
 
@@ -207,13 +224,14 @@
 
 void preferBySensitivity(std::span<PlacingCandidate> candidates, bool sensitive)
 {
-    std::vector<std::string_view> ids;
-    ids.reserve(candidates.size());
-    for (const PlacingCandidate &candidate : candidates)
-        ids.push_back(candidate.upstream);
-    const auto marks = markForSensitive(ids, SensitiveShare);
-    for (std::size_t i = 0; i < candidates.size(); ++i)
-        candidates[i].preferred = marks[i] == sensitive;
+    const auto marks = markForSensitive(candidates);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        PlacingCandidate &candidate = candidates[i];
+        candidate.preferred = candidate.scarce || marks[i] == sensitive;
+        const double otherMs =
+            sensitive ? SensitiveApartMs : OthersApartMs + OthersApartPerRunningMs * candidate.running;
+        candidate.apartMs = candidate.preferred ? 0 : otherMs;
+    }
 }
 
 std::optional<Placement> place(std::span<const PlacingCandidate> candidates, const Prompt &prompt,
@@ -228,7 +246,7 @@
         const PlacingCandidate &candidate = candidates[i];
         const bool isHome = where.home == i;
         const bool holdsShared = where.shared > 0 && candidate.cachedTokens >= where.shared;
-        if (!isHome && !holdsShared && stableHash(candidate.upstream, seed) % stride != 0
+        if (!isHome && !holdsShared && !candidate.scarce && stableHash(candidate.upstream, seed) % stride != 0
             && (best || i + 1 < candidates.size()))
             continue;
         const Estimate expected = estimate(candidate, isHome, prompt, where, rereadWeight, speed, seed);
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -33,6 +33,12 @@
     preferBySensitivity(candidates, bearsNoPause(call));
 }
 
+/// Whether an upstream bears only few requests yet.
+bool isStillCold(const RoutedCall &call, const UpstreamRecord &record, Instant time)
+{
+    return time < record.coldUntil && call.service != nullptr && call.service->coldPerSecond > 0;
+}
+
 /// The names of all live instances, this one included.
 std::vector<std::string> liveInstances(const RouterState &state, const std::string &own, Instant now)
 {
@@ -47,11 +53,19 @@
 std::vector<PlacingCandidate> Router::candidates(const RoutedCall &call, Instant time) const
 {
     std::vector<PlacingCandidate> found;
+    std::vector<std::string> instances;
     for (const UpstreamRecord *record : m_state.catalog.usable(call.serviceName)) {
         const std::string &id = record->entry.id;
         const bool wasTried = std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end();
         if (wasTried || m_state.judge.isOut(id, time))
             continue;
+        const bool isCold = isStillCold(call, *record, time);
+        if (isCold) {
+            if (instances.empty())
+                instances = liveInstances(m_state, m_settings.instance, time);
+            if (!m_state.cold.mayAdmit(id, call.service->coldPerSecond, m_settings.instance, instances, time))
+                continue;
+        }
         const Load load = m_state.loads.total(id, time);
         found.push_back({.upstream = id,
                          .slots = record->entry.slots,
@@ -60,19 +74,12 @@
                          .cachedTokens = m_state.parts.cachedTokens(id, call.request.prompt),
                          .readTokens = m_state.parts.readTokens(id, call.request.prompt),
                          .failureShare = m_state.judge.failureShare(id, time),
+                         .scarce = isCold,
                          .sameZone = record->entry.zone == m_settings.zone});
     }
     return found;
 }
 
-bool Router::admitsCold(const RoutedCall &call, const UpstreamRecord &record, Instant time)
-{
-    if (time >= record.coldUntil || call.service == nullptr || call.service->coldPerSecond <= 0)
-        return true;
-    const auto names = liveInstances(m_state, m_settings.instance, time);
-    return m_state.cold.admit(record.entry.id, call.service->coldPerSecond, m_settings.instance, names, time);
-}
-
 std::optional<Answer> Router::choose(RoutedCall &call, RoutedAttempt &attempt)
 {
     const Instant time = now();
@@ -84,18 +91,18 @@
     PlacingSpeed speed;
     if (call.service != nullptr && call.service->engine)
         speed.fetchTokensPerMs = call.service->engine->fetchTokensPerMs;
-    while (!left.empty()) {
-        const auto placement = place(left, call.request.prompt, speed, stableHash(call.request.attemptId));
+    const auto placement = place(left, call.request.prompt, speed, stableHash(call.request.attemptId));
+    if (placement) {
         const UpstreamRecord &record = *m_state.catalog.find(left[placement->candidate].upstream);
-        if (admitsCold(call, record, time)) {
-            attempt.upstream = record.entry.id;
-            attempt.address = record.entry.address;
-            attempt.unreadTokens = placement->unreadTokens;
-            if (placement->source)
-                attempt.fetchFrom = m_state.catalog.find(left[*placement->source].upstream)->entry.address;
-            return std::nullopt;
-        }
-        left.erase(left.begin() + static_cast<std::ptrdiff_t>(placement->candidate));
+        attempt.upstream = record.entry.id;
+        attempt.address = record.entry.address;
+        attempt.unreadTokens = placement->unreadTokens;
+        if (placement->source)
+            attempt.fetchFrom = m_state.catalog.find(left[*placement->source].upstream)->entry.address;
+        // Nothing has changed since it was found admissible.
+        if (isStillCold(call, record, time))
+            m_state.cold.noteSent(attempt.upstream, time);
+        return std::nullopt;
     }
     return notRun("no-upstream", "no upstream of the service can take the request now");
 }
