--- a/emulator/engine.cpp
+++ b/emulator/engine.cpp
@@ -9,15 +9,6 @@
 constexpr double PairsInMillion = 1e6;
 constexpr double TokensInThousand = 1000;
 
-/// Tokens of a prompt's shared parts, all but the last one.
-double sharedTokens(const Prompt &prompt)
-{
-    double tokens = 0;
-    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
-        tokens += prompt.parts[i].tokens;
-    return tokens;
-}
-
 } // namespace
 
 bool Engine::isMoreUrgent(const Run &a, const Run &b) noexcept
--- a/include/chestnutsill/policy/prompt.h
+++ b/include/chestnutsill/policy/prompt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -21,4 +22,13 @@
     std::uint32_t maxOutput = 0;
 };
 
+/// Tokens of the parts that other prompts may share: all but the last one.
+[[nodiscard]] inline double sharedTokens(const Prompt &prompt) noexcept
+{
+    double tokens = 0;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+        tokens += prompt.parts[i].tokens;
+    return tokens;
+}
+
 } // namespace chestnutsill
--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -52,14 +52,6 @@
 /// alike.
 constexpr double JitterMs = 1;
 
-double sharedTokens(const Prompt &prompt)
-{
-    double tokens = 0;
-    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
-        tokens += prompt.parts[i].tokens;
-    return tokens;
-}
-
 /// The candidate that ranks first for the last shared part of a prompt; nothing when the prompt shares none.
 std::optional<std::size_t> homeOf(std::span<const PlacingCandidate> candidates, const Prompt &prompt)
 {
