A peer whose own reading is old says so at once

The store turned all four hubs away at 5.45 s. Their members left them at 6.67 s, when the confirmation was over 2.5 s old, and tried the hubs of the other zones, which knew nothing newer either: each waited 0.7 s for changes before it said so, and the store was asked only at 8.81 s.

Ruled out: the hubs' own choice (they tried each other in the same way), the store (it served the members at once when they asked).

Change: a feed answer that isn't fresh is sent without waiting, so that all ways are tried within milliseconds. The bound lives beside the feed now.

Also mended: a finding of the linter in the fleet.

--- a/src/daemon/peerfeed.cpp
+++ b/src/daemon/peerfeed.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+bool isFresh(const FeedAnswer &answer) noexcept
+{
+    return answer.confirmedAge && *answer.confirmedAge <= OldestFeed;
+}
+
 void FeedServer::serve(Exchange &exchange, const Fiber &fiber)
 {
     const std::string_view target = exchange.request().target;
@@ -33,7 +38,7 @@
     const milliseconds wait(std::min<milliseconds::rep>(
         static_cast<milliseconds::rep>(queryNumber(target, "wait")), LongestWait.count()));
     auto answer = m_answer(after);
-    if (answer && answer->items.empty()) {
+    if (answer && answer->items.empty() && isFresh(*answer)) {
         boost::asio::steady_timer timer(fiber.get_executor(), wait);
         const auto place = m_waiting.insert(m_waiting.end(), &timer);
         boost::system::error_code ignored;
--- a/src/daemon/peerfeed.h
+++ b/src/daemon/peerfeed.h
@@ -17,7 +17,15 @@
 /// Path under which peers follow the store through this instance.
 inline constexpr std::string_view FeedPath = "/published";
 
-/// Serves peers that follow the store through this instance: each call waits until there are changes.
+/// Oldest confirmation of a peer that is followed. It keeps a follower of a stuck peer well within the time
+/// to apply a change.
+inline constexpr milliseconds OldestFeed{2500};
+
+/// Whether an answer is from a peer that has followed the store till lately.
+[[nodiscard]] bool isFresh(const FeedAnswer &answer) noexcept;
+
+/// Serves peers that follow the store through this instance: each call waits until there are changes. An
+/// answer that isn't fresh is sent at once, so that the follower finds another way.
 class FeedServer
 {
 public:
--- a/src/daemon/storewatch.cpp
+++ b/src/daemon/storewatch.cpp
@@ -22,12 +22,9 @@
 /// each call answers all that came before it.
 constexpr milliseconds CallGap{100};
 
-/// How long a call to a peer waits for changes, the time that it may take beside, and the oldest confirmation
-/// of a peer that is followed. Together they keep a follower of a stuck peer well within the time to apply a
-/// change.
+/// How long a call to a peer waits for changes, and the time that it may take beside.
 constexpr milliseconds FeedWait{700};
 constexpr milliseconds FeedTimeout{300};
-constexpr milliseconds OldestFeed{2500};
 
 std::string faultText(const Faults &faults)
 {
@@ -100,8 +97,8 @@
 {
     const Instant start = now();
     const auto answer = m_feed.follow(peer, m_log.at(), FeedWait, FeedWait + FeedTimeout, fiber);
-    const bool isFresh = answer && answer->confirmedAge && *answer->confirmedAge <= OldestFeed;
-    if (!isFresh) {
+    const bool fresh = answer && isFresh(*answer);
+    if (!fresh) {
         log(LogLevel::Info, "peer-feed-left",
             {{"peer", peer},
              {"reason", answer ? std::string("its confirmation is too old") : m_feed.lastReason()},
@@ -118,10 +115,10 @@
     if (answer->confirmedAge) {
         const Instant knownAt = (waited ? start + FeedWait : start) - *answer->confirmedAge;
         confirm(knownAt);
-        if (isFresh)
+        if (fresh)
             noteSuccess(knownAt);
     }
-    return isFresh;
+    return fresh;
 }
 
 void StoreWatch::take(const std::vector<PublishedItem> &items, std::uint64_t at)
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -149,6 +149,7 @@
             zones.insert(known.news.zone);
     }
     std::vector<std::pair<std::uint64_t, std::string>> others;
+    others.reserve(zones.size() + 1);
     for (const std::string &zone : zones)
         others.emplace_back(stableHash(m_ownName, stableHash(zone)), hubOf(zone, now));
     std::sort(others.begin(), others.end());
