A crash is proved by a connection that doesn't last, too

After a connection breaks the router opens another one to learn whether the upstream has ended. A process that is ending still takes connections for a few milliseconds: with a line for each probe in the log, the one to the first upstream opened and the next request to it was refused 3 ms later, so the crash was not counted and the request went on to a fourth upstream.

Change: the new connection must last 20 ms to prove that the upstream lives; one that doesn't is followed by another, three at most. Only callers of a broken connection wait for it.

--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -18,6 +18,10 @@
 constexpr int MaxStrays = 3;
 /// How long a connection that was opened to probe an upstream is kept for a request.
 constexpr milliseconds ProbedIdleLife{300};
+/// How long a new connection must last to prove that the upstream lives: a process that is ending still takes
+/// some for a few milliseconds and then closes them. Connections that don't last are tried again so often.
+constexpr milliseconds ProofPause{20};
+constexpr int MaxProbes = 3;
 constexpr int FirstServerError = 500;
 constexpr int StatusOk = 200;
 
@@ -266,12 +270,18 @@
     // again.
     if (!m_probing.insert(upstream).second)
         return;
-    auto client = std::make_unique<HttpClient>();
-    if (client->connect(address, ConnectTimeout, fiber)) {
-        m_state.connections.keep(upstream, std::move(client), ProbedIdleLife, now());
-    } else {
-        m_state.judge.record(upstream, AttemptResult::Unreachable, now());
-        noteUnreachable(upstream, !client->timedOut());
+    for (int probes = 0; probes < MaxProbes; ++probes) {
+        auto client = std::make_unique<HttpClient>();
+        if (!client->connect(address, ConnectTimeout, fiber)) {
+            m_state.judge.record(upstream, AttemptResult::Unreachable, now());
+            noteUnreachable(upstream, !client->timedOut());
+            break;
+        }
+        sleepFor(ProofPause, fiber);
+        if (client->isIdle()) {
+            m_state.connections.keep(upstream, std::move(client), ProbedIdleLife, now());
+            break;
+        }
     }
     m_probing.erase(upstream);
 }
