One place for the text and bytes of messages between peers

Heartbeat and feed each had their own copy of a text's conversion and of packing and unpacking a message, beside the ones that the RPC codecs had already; impl/wirebytes.h serves all four. Limits of the feed's reader are as they were.

--- a/src/peer/convert.cpp
+++ b/src/peer/convert.cpp
@@ -1,26 +1,13 @@
 #include "impl/convert.h"
 
+#include "impl/wirebytes.h"
+
 #include <algorithm>
 
 namespace chestnutsill::impl {
 
 namespace {
 
-std::string toString(capnp::Text::Reader text)
-{
-    return {text.begin(), text.size()};
-}
-
-std::string toString(capnp::Data::Reader data)
-{
-    return {reinterpret_cast<const char *>(data.begin()), data.size()};
-}
-
-capnp::Data::Reader toData(const std::string &text)
-{
-    return {reinterpret_cast<const capnp::byte *>(text.data()), text.size()};
-}
-
 template<typename Enum>
 Enum toEnum(int value, Enum last)
 {
@@ -41,7 +28,7 @@
 
 Ticket readTicket(wire::Ticket::Reader in)
 {
-    return {toString(in.getHolder()), in.getIncarnation(), in.getNumber()};
+    return {toText(in.getHolder()), in.getIncarnation(), in.getNumber()};
 }
 
 } // namespace
@@ -65,12 +52,12 @@
     Ask value;
     value.ticket = readTicket(in.getTicket());
     value.tier = toTier(in.getTier());
-    value.account = toString(in.getAccount());
+    value.account = toText(in.getAccount());
     value.fingerprint = in.getFingerprint();
     value.strikes = in.getStrikes();
     value.startBy = now + std::clamp(Instant(in.getStartWithin()), Instant{}, Instant(MaxRunTime));
     for (const auto name : in.getAvoid())
-        value.avoid.push_back(toString(name));
+        value.avoid.push_back(toText(name));
     value.overForecast = in.getOverForecast();
     return value;
 }
@@ -97,8 +84,8 @@
     const Ticket ticket = readTicket(in.getTicket());
     if (in.isGrant()) {
         const auto grant = in.getGrant();
-        return Grant{ticket, toString(grant.getUpstream()), toString(grant.getAddress()),
-                     toString(grant.getIncarnation()), Instant(grant.getWaited())};
+        return Grant{ticket, toText(grant.getUpstream()), toText(grant.getAddress()),
+                     toText(grant.getIncarnation()), Instant(grant.getWaited())};
     }
     const auto refusal = in.getRefusal();
     return Refusal{ticket, toEnum(refusal.getReason(), RefusalReason::Quarantined),
@@ -116,7 +103,7 @@
 Release read(wire::Release::Reader in)
 {
     return {readTicket(in.getTicket()), toEnum(in.getOutcome(), RunOutcome::WrongAnswer),
-            toString(in.getIncarnationSeen()), Instant(in.getFirstToken())};
+            toText(in.getIncarnationSeen()), Instant(in.getFirstToken())};
 }
 
 void write(wire::Heartbeat::Builder out, const Heartbeat &value)
@@ -148,25 +135,25 @@
 
 Heartbeat read(wire::Heartbeat::Reader in)
 {
-    Heartbeat value{toString(in.getName()),
+    Heartbeat value{toText(in.getName()),
                     in.getIncarnation(),
-                    toString(in.getAddress()),
+                    toText(in.getAddress()),
                     in.getConfigVersion(),
                     in.getListDigest(),
                     in.getReady(),
                     in.getLeaving(),
-                    toString(in.getRequestIdPrefix()),
+                    toText(in.getRequestIdPrefix()),
                     {}};
     for (const auto entry : in.getPools()) {
         PoolSummary summary;
-        summary.pool = toString(entry.getPool());
+        summary.pool = toText(entry.getPool());
         summary.capacity = static_cast<int>(entry.getCapacity());
         summary.inUse = static_cast<int>(entry.getInUse());
         const auto waiting = entry.getWaiting();
         for (unsigned tier = 0; tier < TierCount && tier < waiting.size(); ++tier)
             summary.waiting[tier] = static_cast<int>(waiting[tier]);
         for (const auto warm : entry.getWarm())
-            summary.warm.push_back({toString(warm.getUpstream()), toString(warm.getIncarnation())});
+            summary.warm.push_back({toText(warm.getUpstream()), toText(warm.getIncarnation())});
         value.pools.push_back(std::move(summary));
     }
     return value;
@@ -183,8 +170,8 @@
 
 HeldSlot read(wire::HeldSlot::Reader in)
 {
-    return {readTicket(in.getTicket()), toString(in.getPool()), toString(in.getUpstream()),
-            toTier(in.getTier()), in.getFingerprint()};
+    return {readTicket(in.getTicket()), toText(in.getPool()), toText(in.getUpstream()), toTier(in.getTier()),
+            in.getFingerprint()};
 }
 
 void write(wire::ForwardedRequest::Builder out, const ForwardedRequest &value)
@@ -199,8 +186,8 @@
 
 ForwardedRequest read(wire::ForwardedRequest::Reader in)
 {
-    return {toString(in.getRequestId()), toString(in.getAccount()),     toString(in.getRequestClass()),
-            toString(in.getTarget()),    toString(in.getContentType()), toString(in.getBody())};
+    return {toText(in.getRequestId()), toText(in.getAccount()),     toText(in.getRequestClass()),
+            toText(in.getTarget()),    toText(in.getContentType()), toText(in.getBody())};
 }
 
 void write(wire::Answer::Builder out, const Answer &value)
@@ -217,9 +204,9 @@
     Answer value;
     value.status = in.getStatus();
     value.verdict = toEnum(in.getVerdict(), Verdict::MayHaveRun);
-    value.contentType = toString(in.getContentType());
-    value.body = toString(in.getBody());
-    value.reason = toString(in.getReason());
+    value.contentType = toText(in.getContentType());
+    value.body = toText(in.getBody());
+    value.reason = toText(in.getReason());
     return value;
 }
 
@@ -234,7 +221,7 @@
 
 CrashReport read(wire::CrashReport::Reader in)
 {
-    CrashReport value{toString(in.getUpstream()), toString(in.getIncarnation()), {}};
+    CrashReport value{toText(in.getUpstream()), toText(in.getIncarnation()), {}};
     for (const std::uint64_t fingerprint : in.getFingerprints())
         value.fingerprints.push_back(fingerprint);
     return value;
--- a/src/peer/feed.cpp
+++ b/src/peer/feed.cpp
@@ -1,9 +1,7 @@
 #include "chestnutsill/peer/feed.h"
 
 #include "impl/feed.capnp.h"
-
-#include <capnp/serialize-packed.h>
-#include <kj/io.h>
+#include "impl/wirebytes.h"
 
 #include <algorithm>
 
@@ -15,23 +13,17 @@
 constexpr milliseconds::rep MaxMs = 1'000'000'000;
 /// Limit of the words read from one answer, which bounds what bad bytes can cost: 64 MB.
 constexpr std::uint64_t MaxWords = 8 << 20;
+constexpr int MaxNesting = 64;
 
-std::string toText(capnp::Text::Reader text)
-{
-    return {text.begin(), text.size()};
-}
-
-PublishedItem read(wire::PublishedItem::Reader in)
+PublishedItem toItem(wire::PublishedItem::Reader in)
 {
-    const auto value = in.getValue();
-    return {toText(in.getKey()), std::string(reinterpret_cast<const char *>(value.begin()), value.size()),
-            in.getRevision(), in.getDeleted()};
+    return {impl::toText(in.getKey()), impl::toText(in.getValue()), in.getRevision(), in.getDeleted()};
 }
 
 void write(wire::PublishedItem::Builder out, const PublishedItem &item)
 {
     out.setKey(item.key.c_str());
-    out.setValue({reinterpret_cast<const kj::byte *>(item.value.data()), item.value.size()});
+    out.setValue(impl::toData(item.value));
     out.setRevision(item.revision);
     out.setDeleted(item.deleted);
 }
@@ -50,27 +42,23 @@
     root.setConfirmedAgeMs(static_cast<std::int32_t>(age));
     root.setLapseMs(
         static_cast<std::uint32_t>(std::clamp<milliseconds::rep>(answer.lapseLeft.count(), 0, MaxMs)));
-    kj::VectorOutputStream bytes;
-    capnp::writePackedMessage(bytes, message);
-    const auto array = bytes.getArray();
-    return {reinterpret_cast<const char *>(array.begin()), array.size()};
+    return impl::toBytes(message);
 }
 
 std::optional<FeedAnswer> decodeFeed(std::string_view bytes)
 {
     FeedAnswer answer;
-    const auto failure = kj::runCatchingExceptions([&] {
-        kj::ArrayInputStream stream({reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()});
-        capnp::PackedMessageReader message(stream, {MaxWords, 64});
-        const auto root = message.getRoot<wire::FeedAnswer>();
+    const auto read = [&](wire::FeedAnswer::Reader root) {
         for (const auto item : root.getItems())
-            answer.items.push_back(read(item));
+            answer.items.push_back(toItem(item));
         answer.at = root.getAt();
         if (root.getConfirmedAgeMs() >= 0)
             answer.confirmedAge = milliseconds(root.getConfirmedAgeMs());
         answer.lapseLeft = milliseconds(root.getLapseMs());
-    });
-    return failure == nullptr ? std::optional(std::move(answer)) : std::nullopt;
+    };
+    if (!impl::readBytes<wire::FeedAnswer>(bytes, {MaxWords, MaxNesting}, read))
+        return std::nullopt;
+    return answer;
 }
 
 } // namespace chestnutsill
--- a/src/peer/fleetbeat.cpp
+++ b/src/peer/fleetbeat.cpp
@@ -1,9 +1,7 @@
 #include "chestnutsill/peer/fleetbeat.h"
 
 #include "impl/fleet.capnp.h"
-
-#include <capnp/serialize-packed.h>
-#include <kj/io.h>
+#include "impl/wirebytes.h"
 
 #include <algorithm>
 #include <limits>
@@ -12,6 +10,8 @@
 
 namespace {
 
+using impl::toText;
+
 constexpr std::int32_t NeverConfirmed = -1;
 
 template<typename Number>
@@ -20,11 +20,6 @@
     return static_cast<Number>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<Number>::max()));
 }
 
-std::string toText(capnp::Text::Reader text)
-{
-    return {text.begin(), text.size()};
-}
-
 void write(wire::InstanceNews::Builder out, const InstanceNews &news)
 {
     out.setName(news.name.c_str());
@@ -149,19 +144,13 @@
         crashes[i].setFingerprints({fingerprints.data(), fingerprints.size()});
     }
     root.setCleared({beat.cleared.data(), beat.cleared.size()});
-    kj::VectorOutputStream bytes;
-    capnp::writePackedMessage(bytes, message);
-    const auto array = bytes.getArray();
-    return {reinterpret_cast<const char *>(array.begin()), array.size()};
+    return impl::toBytes(message);
 }
 
 std::optional<FleetBeat> decodeBeat(std::span<const char> bytes)
 {
     FleetBeat beat;
-    const auto failure = kj::runCatchingExceptions([&] {
-        kj::ArrayInputStream stream({reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()});
-        capnp::PackedMessageReader message(stream);
-        const auto root = message.getRoot<wire::FleetBeat>();
+    const bool isWhole = impl::readBytes<wire::FleetBeat>(bytes, {}, [&](wire::FleetBeat::Reader root) {
         beat.self = read(root.getSelf());
         for (const auto other : root.getOthers())
             beat.others.push_back(read(other));
@@ -187,7 +176,7 @@
         }
         beat.cleared = toNumbers(root.getCleared());
     });
-    if (failure != nullptr || beat.self.name.empty())
+    if (!isWhole || beat.self.name.empty())
         return std::nullopt;
     return beat;
 }
--- a/src/peer/peerserver.cpp
+++ b/src/peer/peerserver.cpp
@@ -2,6 +2,7 @@
 
 #include "chestnutsill/clock.h"
 #include "impl/convert.h"
+#include "impl/wirebytes.h"
 
 #include <memory>
 
@@ -32,11 +33,6 @@
     return later;
 }
 
-std::string toString(capnp::Text::Reader text)
-{
-    return {text.begin(), text.size()};
-}
-
 } // namespace
 
 PeerServer::PeerServer(const PeerHandlers &handlers, PostTask post)
@@ -63,7 +59,7 @@
 {
     auto params = context.getParams();
     auto later = makeLater<Decision>(m_post);
-    m_handlers.ask(toString(params.getPool()), read(params.getRequest(), now()), later.done);
+    m_handlers.ask(toText(params.getPool()), read(params.getRequest(), now()), later.done);
     return later.promise.then([context](const Decision &decision) mutable {
         write(context.getResults().initDecision(), decision);
     });
@@ -72,7 +68,7 @@
 kj::Promise<void> PeerServer::release(ReleaseContext context)
 {
     auto params = context.getParams();
-    m_handlers.release(toString(params.getPool()), read(params.getEnded()));
+    m_handlers.release(toText(params.getPool()), read(params.getEnded()));
     return kj::READY_NOW;
 }
 
