One queue for news that heartbeats tell several times

The book of crashes and the cache of prompt parts each kept a list with counts of its own; NewsQueue serves both. How often each is told is as it was.

--- a/include/chestnutsill/policy/crashbook.h
+++ b/include/chestnutsill/policy/crashbook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutsill/policy/instant.h"
+#include "chestnutsill/policy/newsqueue.h"
 #include "chestnutsill/policy/suspects.h"
 
 #include <cstdint>
@@ -56,8 +57,8 @@
     }
 
     /// News for the next heartbeat.
-    [[nodiscard]] std::vector<CrashNews> news();
-    [[nodiscard]] std::vector<std::uint64_t> clearedNews();
+    [[nodiscard]] std::vector<CrashNews> news() { return m_news.take(); }
+    [[nodiscard]] std::vector<std::uint64_t> clearedNews() { return m_cleared.take(); }
 
 private:
     struct Broken
@@ -72,21 +73,14 @@
         std::vector<Broken> broken;
     };
 
-    template<typename News>
-    struct Untold
-    {
-        News news;
-        int timesLeft = TimesTold;
-    };
-
     void record(const CrashNews &news, Instant now);
 
     Suspects m_suspects;
     /// Incarnations whose crash is known.
     std::set<std::uint64_t> m_seen;
     std::map<std::string, AtUpstream, std::less<>> m_upstreams;
-    std::vector<Untold<CrashNews>> m_news;
-    std::vector<Untold<std::uint64_t>> m_cleared;
+    NewsQueue<CrashNews, TimesTold> m_news;
+    NewsQueue<std::uint64_t, TimesTold> m_cleared;
 };
 
 } // namespace chestnutsill
--- a/include/chestnutsill/policy/upstreamload.h
+++ b/include/chestnutsill/policy/upstreamload.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutsill/policy/instant.h"
+#include "chestnutsill/policy/newsqueue.h"
 #include "chestnutsill/policy/prompt.h"
 
 #include <cstdint>
@@ -104,7 +105,7 @@
     void hear(const PartCopy &copy, bool tellOn);
 
     /// Shared parts that this instance has had read lately, for the next heartbeat.
-    [[nodiscard]] std::vector<PartCopy> news();
+    [[nodiscard]] std::vector<PartCopy> news() { return m_news.take(); }
 
     /// Forgets an upstream, which has lost its memory.
     void forget(std::string_view upstream);
@@ -125,12 +126,6 @@
         std::uint64_t capacity = 0;
     };
 
-    struct Untold
-    {
-        PartCopy copy;
-        int timesLeft = TimesTold;
-    };
-
     static void put(Holding &holding, std::span<const PromptPart> parts, bool read);
     [[nodiscard]] static bool holds(const Holding &holding, const PartCopy &copy);
     [[nodiscard]] double tokensOf(std::string_view upstream, const Prompt &prompt, bool onlyRead) const;
@@ -138,7 +133,7 @@
 
     /// By hash of the upstream's id.
     std::unordered_map<std::uint64_t, Holding> m_holdings;
-    std::vector<Untold> m_untold;
+    NewsQueue<PartCopy, TimesTold> m_news;
 };
 
 } // namespace chestnutsill
--- a/src/policy/crashbook.cpp
+++ b/src/policy/crashbook.cpp
@@ -6,22 +6,6 @@
 
 namespace chestnutsill {
 
-namespace {
-
-template<typename News>
-auto takeNews(std::vector<News> &untold)
-{
-    std::vector<decltype(News::news)> told;
-    for (News &item : untold) {
-        told.push_back(item.news);
-        --item.timesLeft;
-    }
-    std::erase_if(untold, [](const News &item) { return item.timesLeft <= 0; });
-    return told;
-}
-
-} // namespace
-
 void CrashBook::begin(std::string_view upstream, std::uint64_t fingerprint)
 {
     m_upstreams[std::string(upstream)].running.push_back(fingerprint);
@@ -59,7 +43,7 @@
         return 0;
     record(news, now);
     const std::size_t count = news.fingerprints.size();
-    m_news.push_back({std::move(news)});
+    m_news.add(std::move(news));
     return count;
 }
 
@@ -68,7 +52,7 @@
     if (!m_suspects.lastCrash(fingerprint))
         return false;
     m_suspects.clear(fingerprint);
-    m_cleared.push_back({fingerprint});
+    m_cleared.add(fingerprint);
     return true;
 }
 
@@ -84,25 +68,15 @@
 void CrashBook::hear(const CrashNews &news, Instant now, bool tellOn)
 {
     if (tellOn && !m_seen.contains(news.incarnation))
-        m_news.push_back({news});
+        m_news.add(news);
     record(news, now);
 }
 
 void CrashBook::hearCleared(std::uint64_t fingerprint, bool tellOn)
 {
     if (tellOn && m_suspects.lastCrash(fingerprint))
-        m_cleared.push_back({fingerprint});
+        m_cleared.add(fingerprint);
     m_suspects.clear(fingerprint);
 }
 
-std::vector<CrashNews> CrashBook::news()
-{
-    return takeNews(m_news);
-}
-
-std::vector<std::uint64_t> CrashBook::clearedNews()
-{
-    return takeNews(m_cleared);
-}
-
 } // namespace chestnutsill
--- a/src/policy/upstreamload.cpp
+++ b/src/policy/upstreamload.cpp
@@ -137,7 +137,7 @@
         // Copies that are known already are no news, which keeps heartbeats small.
         PartCopy copy{hash, {prompt.parts.begin(), std::prev(prompt.parts.end())}, read};
         if (!holds(holding, copy))
-            m_untold.push_back({std::move(copy)});
+            m_news.add(std::move(copy));
     }
     put(holding, prompt.parts, read);
 }
@@ -165,21 +165,10 @@
 {
     Holding &holding = m_holdings[copy.upstream];
     if (tellOn && !holds(holding, copy))
-        m_untold.push_back({copy});
+        m_news.add(copy);
     put(holding, copy.parts, copy.read);
 }
 
-std::vector<PartCopy> PartCache::news()
-{
-    std::vector<PartCopy> copies;
-    for (Untold &untold : m_untold) {
-        copies.push_back(untold.copy);
-        --untold.timesLeft;
-    }
-    std::erase_if(m_untold, [](const Untold &untold) { return untold.timesLeft <= 0; });
-    return copies;
-}
-
 void PartCache::forget(std::string_view upstream)
 {
     m_holdings.erase(stableHash(upstream));
