One client that keeps a connection, for the store and for peers' feeds

Both kept a connection, looked whether it was still open, opened another one and gave it up after a failure, each in its own words. KeptClient does it; times to connect stay as they were.

--- a/src/daemon/peerfeed.cpp
+++ b/src/daemon/peerfeed.cpp
@@ -8,7 +8,6 @@
 
 /// Longest time that a call may wait.
 constexpr milliseconds LongestWait{5000};
-constexpr milliseconds ConnectTimeout{300};
 constexpr std::size_t MaxAnswer = 64 << 20;
 constexpr int StatusOk = 200;
 constexpr int StatusGone = 410;
@@ -61,21 +60,11 @@
 std::optional<FeedAnswer> FeedClient::follow(const std::string &peer, std::uint64_t after, milliseconds wait,
                                              milliseconds timeout, const Fiber &fiber)
 {
-    if (!m_client || m_peer != peer || !m_client->isIdle()) {
-        m_peer = peer;
-        m_client = std::make_unique<HttpClient>();
-        if (!m_client->connect(peer, ConnectTimeout, fiber)) {
-            m_reason = m_client->lastReason();
-            m_client.reset();
-            return std::nullopt;
-        }
-    }
     const std::string target =
         std::string(FeedPath) + "?after=" + std::to_string(after) + "&wait=" + std::to_string(wait.count());
-    const auto response = m_client->call({.target = target}, MaxAnswer, timeout, fiber);
+    const auto response = m_client.call(peer, {.target = target}, MaxAnswer, timeout, fiber);
     if (!response) {
-        m_reason = m_client->lastReason();
-        m_client.reset();
+        m_reason = m_client.lastReason();
         return std::nullopt;
     }
     auto answer = response->head.status == StatusOk ? decodeFeed(response->body) : std::nullopt;
@@ -84,10 +73,4 @@
     return answer;
 }
 
-void FeedClient::cancel()
-{
-    if (m_client)
-        m_client->close();
-}
-
 } // namespace chestnutsill
--- a/src/daemon/peerfeed.h
+++ b/src/daemon/peerfeed.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "chestnutsill/net/exchange.h"
-#include "chestnutsill/net/httpclient.h"
+#include "chestnutsill/net/keptclient.h"
 #include "chestnutsill/peer/feed.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -56,13 +56,14 @@
                                                    const Fiber &fiber);
 
     /// Ends a call that waits.
-    void cancel();
+    void cancel() { m_client.close(); }
 
     [[nodiscard]] const std::string &lastReason() const noexcept { return m_reason; }
 
 private:
-    std::string m_peer;
-    std::unique_ptr<HttpClient> m_client;
+    static constexpr milliseconds ConnectTimeout{300};
+
+    KeptClient m_client{ConnectTimeout};
     std::string m_reason;
 };
 
--- /dev/null
+++ b/src/net/keptclient.cpp
@@ -0,0 +1,32 @@
+#include "chestnutsill/net/keptclient.h"
+
+namespace chestnutsill {
+
+std::optional<HttpResponse> KeptClient::call(const std::string &address, const HttpCall &call,
+                                             std::size_t maxBody, std::chrono::milliseconds timeout,
+                                             const Fiber &fiber)
+{
+    if (!m_client || m_address != address || !m_client->isIdle()) {
+        m_address = address;
+        m_client = std::make_unique<HttpClient>();
+        if (!m_client->connect(address, m_connectTimeout, fiber)) {
+            m_reason = m_client->lastReason();
+            m_client.reset();
+            return std::nullopt;
+        }
+    }
+    auto response = m_client->call(call, maxBody, timeout, fiber);
+    if (!response)
+        m_reason = m_client->lastReason();
+    if (!response || !response->head.keepAlive)
+        m_client.reset();
+    return response;
+}
+
+void KeptClient::close()
+{
+    if (m_client)
+        m_client->close();
+}
+
+} // namespace chestnutsill
