--- a/include/chestnutsill/config/reader.h
+++ b/include/chestnutsill/config/reader.h
@@ -4,8 +4,10 @@
 
 #include <boost/json.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -23,6 +25,12 @@
     /// A text of at least one character.
     [[nodiscard]] std::string text(std::string_view field);
 
+    /// A text that may be empty; nothing when it is none.
+    [[nodiscard]] std::optional<std::string> anyText(std::string_view field);
+
+    /// An IP address and a port.
+    [[nodiscard]] std::string address(std::string_view field);
+
     /// A text that may stand in a request id or a log: letters, digits, hyphens, underscores.
     [[nodiscard]] std::string name(std::string_view field);
 
@@ -32,6 +40,13 @@
     /// A number in [min, max].
     [[nodiscard]] double number(std::string_view field, double min, double max);
 
+    /// A time that the document gives as a whole number of milliseconds, or as a number of seconds, from 0 to
+    /// `longest`.
+    [[nodiscard]] std::chrono::milliseconds inMilliseconds(std::string_view field,
+                                                           std::chrono::milliseconds longest);
+    [[nodiscard]] std::chrono::milliseconds inSeconds(std::string_view field,
+                                                      std::chrono::milliseconds longest);
+
     /// A truth value; false when the field is absent.
     [[nodiscard]] bool flag(std::string_view field);
 
@@ -46,9 +61,6 @@
     /// A reader for the object in a field.
     [[nodiscard]] Reader object(std::string_view field);
 
-    /// Calls `each` with the name and value of each member of the object.
-    void members(const std::function<void(std::string_view, const boost::json::value &)> &each) const;
-
     /// Path of a field, for faults found by the caller.
     [[nodiscard]] std::string pathOf(std::string_view field) const;
 
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -1,6 +1,5 @@
 #include "chestnutsill/config/document.h"
 
-#include "chestnutsill/config/address.h"
 #include "chestnutsill/config/reader.h"
 
 #include <boost/json.hpp>
@@ -87,9 +86,7 @@
         Upstream upstream;
         upstream.name = reader.name("name");
         names.check(reader, upstream.name);
-        upstream.address = reader.text("address");
-        if (!upstream.address.empty() && !isAddress(upstream.address))
-            reader.fault("address", "must be an IP address and a port");
+        upstream.address = reader.address("address");
         upstream.zone = reader.name("zone");
         if (!upstream.zone.empty() && !zones.contains(upstream.zone))
             reader.fault("zone", "names no zone of the document");
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -1,5 +1,6 @@
 #include "chestnutsill/config/reader.h"
 
+#include "chestnutsill/config/address.h"
 #include "chestnutsill/policy/requestid.h"
 
 namespace chestnutsill {
@@ -44,6 +45,25 @@
     return {string.data(), string.size()};
 }
 
+std::optional<std::string> Reader::anyText(std::string_view field)
+{
+    const json::value *value = find(field);
+    if (value == nullptr || !value->is_string()) {
+        fault(field, value == nullptr ? "is missing" : "must be a text");
+        return std::nullopt;
+    }
+    const auto &string = value->get_string();
+    return std::string(string.data(), string.size());
+}
+
+std::string Reader::address(std::string_view field)
+{
+    std::string value = text(field);
+    if (!value.empty() && !isAddress(value))
+        fault(field, "must be an IP address and a port");
+    return value;
+}
+
 std::string Reader::name(std::string_view field)
 {
     std::string value = text(field);
@@ -83,6 +103,18 @@
     return number;
 }
 
+std::chrono::milliseconds Reader::inMilliseconds(std::string_view field, std::chrono::milliseconds longest)
+{
+    return std::chrono::milliseconds(integer(field, 0, longest.count()));
+}
+
+std::chrono::milliseconds Reader::inSeconds(std::string_view field, std::chrono::milliseconds longest)
+{
+    using Seconds = std::chrono::duration<double>;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        Seconds(number(field, 0, Seconds(longest).count())));
+}
+
 bool Reader::flag(std::string_view field)
 {
     const json::value *value = find(field);
@@ -122,14 +154,6 @@
     return {value != nullptr ? *value : missing, pathOf(field), m_faults};
 }
 
-void Reader::members(const std::function<void(std::string_view, const json::value &)> &each) const
-{
-    if (m_object == nullptr)
-        return;
-    for (const auto &member : *m_object)
-        each({member.key().data(), member.key().size()}, member.value());
-}
-
 void Reader::refuseUnknown()
 {
     if (m_object == nullptr)
