Names of log levels and the comparison without case each stand once

Three lists of the level names and a second comparison of header names went: the log knows its levels, and net compares texts for the platform's wire too.

--- a/include/chestnutsill/net/http.h
+++ b/include/chestnutsill/net/http.h
@@ -16,6 +16,9 @@
     std::string value;
 };
 
+/// Whether two texts are the same but for the case of their letters, as names of header fields are compared.
+[[nodiscard]] bool equalsIgnoringCase(std::string_view a, std::string_view b) noexcept;
+
 /// Why a request could not be read as a whole.
 struct HttpFault
 {
--- a/include/chestnutsill/observe/log.h
+++ b/include/chestnutsill/observe/log.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -11,6 +12,9 @@
 /// Severity of a log line.
 enum class LogLevel { Debug, Info, Warning, Error };
 
+/// The severity of this name (debug, info, warning, error); nothing for another one.
+[[nodiscard]] std::optional<LogLevel> toLogLevel(std::string_view name) noexcept;
+
 /// One member of a log line.
 struct LogField
 {
--- a/src/daemon/main/main.cpp
+++ b/src/daemon/main/main.cpp
@@ -14,14 +14,10 @@
 /// Names the settings file on the users' platform; where it is set, the daemon serves that platform.
 constexpr const char *PlatformSettingsVariable = "CHESTNUTSILL_CONFIG";
 
+/// The level of a setting that has been checked.
 chestnutsill::LogLevel levelOf(const std::string &name)
 {
-    using chestnutsill::LogLevel;
-    if (name == "debug")
-        return LogLevel::Debug;
-    if (name == "warning")
-        return LogLevel::Warning;
-    return name == "error" ? LogLevel::Error : LogLevel::Info;
+    return chestnutsill::toLogLevel(name).value_or(chestnutsill::LogLevel::Info);
 }
 
 int runOnPlatform(const std::string &settingsPath, std::span<const char *const> arguments)
--- a/src/daemon/platformflags.cpp
+++ b/src/daemon/platformflags.cpp
@@ -1,9 +1,9 @@
 #include "daemon/settings.h"
 
+#include "chestnutsill/observe/log.h"
+
 #include <boost/program_options.hpp>
 
-#include <algorithm>
-#include <array>
 #include <sstream>
 
 namespace chestnutsill {
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr int MaxPort = 65535;
-constexpr std::array<std::string_view, 4> LogLevels{"debug", "info", "warning", "error"};
 
 } // namespace
 
@@ -44,7 +43,7 @@
     }
     if (flags.metricsPort < 1 || flags.metricsPort > MaxPort)
         result.faults.emplace_back("--metrics-port must be a whole number from 1 to 65535");
-    if (std::find(LogLevels.begin(), LogLevels.end(), flags.logLevel) == LogLevels.end())
+    if (!toLogLevel(flags.logLevel))
         result.faults.emplace_back("--log-level must be debug, info, warning or error");
     if (result.faults.empty())
         result.flags = flags;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,10 +1,10 @@
 #include "daemon/settings.h"
 
 #include "chestnutsill/config/address.h"
+#include "chestnutsill/observe/log.h"
 
 #include <boost/program_options.hpp>
 
-#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdlib>
@@ -113,8 +113,7 @@
     settings.maxBody = static_cast<std::size_t>(values.integer("max-body-bytes", 1024, 16 << 20));
     settings.readTimeout = std::chrono::milliseconds(values.integer("read-timeout-ms", 100, 600'000));
     settings.logLevel = values.text("log-level");
-    constexpr std::array<std::string_view, 4> Levels{"debug", "info", "warning", "error"};
-    if (std::find(Levels.begin(), Levels.end(), settings.logLevel) == Levels.end())
+    if (!toLogLevel(settings.logLevel))
         values.fault("log-level", "must be debug, info, warning or error");
     if (settings.drain < settings.hold)
         values.fault("drain-ms", "must be at least hold-ms, since callers keep an address answer that long");
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -12,7 +12,7 @@
 std::string_view findField(const std::vector<HttpField> &fields, std::string_view name) noexcept
 {
     for (const HttpField &field : fields) {
-        if (boost::beast::iequals({field.name.data(), field.name.size()}, {name.data(), name.size()}))
+        if (equalsIgnoringCase(field.name, name))
             return field.value;
     }
     return {};
@@ -20,6 +20,11 @@
 
 } // namespace
 
+bool equalsIgnoringCase(std::string_view a, std::string_view b) noexcept
+{
+    return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+
 std::string_view HttpRequest::field(std::string_view name) const noexcept
 {
     return findField(fields, name);
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -67,7 +67,7 @@
     request.target(impl::toBeast(call.target));
     request.set(http::field::host, host);
     for (const HttpField &field : call.fields) {
-        if (beast::iequals(impl::toBeast(field.name), "host"))
+        if (equalsIgnoringCase(field.name, "host"))
             request.set(http::field::host, field.value);
         else
             request.insert(field.name, field.value);
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -37,10 +37,11 @@
     return instance;
 }
 
+constexpr std::array<std::string_view, 4> LevelNames{"debug", "info", "warning", "error"};
+
 std::string_view levelName(LogLevel level)
 {
-    static constexpr std::array<std::string_view, 4> Names{"debug", "info", "warning", "error"};
-    return Names[static_cast<std::size_t>(level)];
+    return LevelNames[static_cast<std::size_t>(level)];
 }
 
 /// Most lines a second, and most at once after a quiet time, so that a burst of requests can't drown the
@@ -102,6 +103,13 @@
 
 } // namespace
 
+std::optional<LogLevel> toLogLevel(std::string_view name) noexcept
+{
+    const auto found = std::find(LevelNames.begin(), LevelNames.end(), name);
+    return found == LevelNames.end() ? std::nullopt
+                                     : std::optional(static_cast<LogLevel>(found - LevelNames.begin()));
+}
+
 void setUpLog(std::string_view instance, LogLevel minimum)
 {
     instanceName() = instance;
