Hubs of all zones in one pass, and one reader of socket addresses

Each zone's hub was looked for by a pass over all known instances, and the targets of heartbeats and of the feed gathered the zones each for itself. The heartbeats' own reader of addresses took what follows a port as given; it uses net's now.

--- a/include/chestnutsill/policy/fleet.h
+++ b/include/chestnutsill/policy/fleet.h
@@ -164,6 +164,11 @@
 
     [[nodiscard]] bool isAlive(const Known &known, Instant now) const;
 
+    /// The hub of each availability zone in which an instance serves, and of the own one.
+    [[nodiscard]] std::map<std::string, std::string, std::less<>> hubs(Instant now) const;
+
+    [[nodiscard]] std::string peerAddressOf(const std::string &name) const;
+
     std::string m_ownName;
     std::string m_ownZone;
     int m_ownStrength;
--- a/src/daemon/fleetlink.cpp
+++ b/src/daemon/fleetlink.cpp
@@ -1,9 +1,9 @@
 #include "daemon/fleetlink.h"
 
 #include "chestnutsill/clock.h"
+#include "chestnutsill/net/address.h"
 #include "chestnutsill/observe/log.h"
 
-#include <charconv>
 #include <set>
 
 namespace chestnutsill {
@@ -18,13 +18,9 @@
 
 std::optional<Udp::endpoint> toEndpoint(std::string_view address)
 {
-    const auto colon = address.rfind(':');
-    boost::system::error_code error;
-    const auto ip = boost::asio::ip::make_address(std::string(address.substr(0, colon)), error);
-    unsigned short port = 0;
-    if (colon != std::string_view::npos)
-        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    return error || port == 0 ? std::nullopt : std::optional(Udp::endpoint(ip, port));
+    const auto parsed = toSocketAddress(address);
+    return parsed && parsed->port != 0 ? std::optional(Udp::endpoint(parsed->ip, parsed->port))
+                                       : std::nullopt;
 }
 
 } // namespace
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -108,30 +108,56 @@
     found->second.passedOverUntil = now + PassOverFor;
 }
 
+std::map<std::string, std::string, std::less<>> Fleet::hubs(Instant now) const
+{
+    std::map<std::string, std::string, std::less<>> hubs;
+    std::map<std::string, std::pair<int, std::uint64_t>, std::less<>> ranks;
+    const auto consider = [&](const std::string &zone, const std::string &name, int strength) {
+        const std::pair rank(strength, stableHash(name, stableHash(zone)));
+        const auto [best, isFirst] = ranks.try_emplace(zone, rank);
+        if (!isFirst && rank <= best->second)
+            return;
+        best->second = rank;
+        hubs[zone] = name;
+    };
+    consider(m_ownZone, m_ownName, m_ownStrength);
+    for (const auto &[name, known] : m_known) {
+        if (known.news.serving && isAlive(known, now) && now >= known.passedOverUntil)
+            consider(known.news.zone, name, known.news.strength);
+    }
+    return hubs;
+}
+
+std::string Fleet::hubOf(std::string_view zone, Instant now) const
+{
+    const auto all = hubs(now);
+    const auto found = all.find(zone);
+    return found == all.end() ? std::string() : found->second;
+}
+
+std::string Fleet::peerAddressOf(const std::string &name) const
+{
+    const auto found = m_known.find(name);
+    return found == m_known.end() ? std::string() : found->second.news.peerAddress;
+}
+
 Fleet::HubTargets Fleet::hubTargets(Instant now) const
 {
     HubTargets targets;
-    const auto known = alive(now);
-    const auto addressOf = [&](const std::string &name) {
-        const auto found = m_known.find(name);
-        return found == m_known.end() ? std::string() : found->second.news.peerAddress;
-    };
-    const std::string ownHub = hubOf(m_ownZone, now);
+    const auto all = hubs(now);
+    const std::string &ownHub = all.find(m_ownZone)->second;
     targets.isHub = ownHub == m_ownName;
     if (!targets.isHub) {
-        targets.hubs.push_back(addressOf(ownHub));
+        targets.hubs.push_back(peerAddressOf(ownHub));
         return targets;
     }
-    std::set<std::string> zones;
-    for (const InstanceNews &instance : known) {
-        if (instance.zone == m_ownZone)
-            targets.members.push_back(instance);
-        else
-            zones.insert(instance.zone);
+    for (const auto &[zone, hub] : all) {
+        if (zone != m_ownZone)
+            targets.hubs.push_back(peerAddressOf(hub));
     }
-    for (const std::string &zone : zones) {
-        if (const std::string hub = hubOf(zone, now); !hub.empty())
-            targets.hubs.push_back(addressOf(hub));
+    for (InstanceNews &instance : alive(now)) {
+        if (instance.zone == m_ownZone)
+            targets.members.push_back(std::move(instance));
     }
     return targets;
 }
@@ -141,24 +167,20 @@
     FeedPeers peers;
     if (!isLarge(now))
         return peers;
-    const std::string ownHub = hubOf(m_ownZone, now);
-    peers.storeFirst = ownHub == m_ownName;
-    std::set<std::string> zones;
-    for (const auto &[name, known] : m_known) {
-        if (known.news.zone != m_ownZone && isAlive(known, now))
-            zones.insert(known.news.zone);
-    }
+    const auto all = hubs(now);
     std::vector<std::pair<std::uint64_t, std::string>> others;
-    others.reserve(zones.size() + 1);
-    for (const std::string &zone : zones)
-        others.emplace_back(stableHash(m_ownName, stableHash(zone)), hubOf(zone, now));
+    others.reserve(all.size());
+    for (const auto &[zone, hub] : all) {
+        if (zone != m_ownZone)
+            others.emplace_back(stableHash(m_ownName, stableHash(zone)), peerAddressOf(hub));
+    }
     std::sort(others.begin(), others.end());
+    const std::string &ownHub = all.find(m_ownZone)->second;
+    peers.storeFirst = ownHub == m_ownName;
     if (!peers.storeFirst)
-        others.insert(others.begin(), {0, ownHub});
-    for (const auto &[rank, name] : others) {
-        if (const auto found = m_known.find(name); found != m_known.end())
-            peers.addresses.push_back(found->second.news.peerAddress);
-    }
+        peers.addresses.push_back(peerAddressOf(ownHub));
+    for (auto &[rank, address] : others)
+        peers.addresses.push_back(std::move(address));
     return peers;
 }
 
@@ -193,27 +215,6 @@
            }));
 }
 
-std::string Fleet::hubOf(std::string_view zone, Instant now) const
-{
-    std::string hub;
-    std::pair<int, std::uint64_t> best;
-    const auto consider = [&](const std::string &name, int strength) {
-        const std::pair<int, std::uint64_t> rank{strength, stableHash(name, stableHash(zone))};
-        if (hub.empty() || rank > best) {
-            hub = name;
-            best = rank;
-        }
-    };
-    if (zone == m_ownZone)
-        consider(m_ownName, m_ownStrength);
-    for (const auto &[name, known] : m_known) {
-        if (known.news.zone == zone && known.news.serving && isAlive(known, now)
-            && now >= known.passedOverUntil)
-            consider(name, known.news.strength);
-    }
-    return hub;
-}
-
 std::vector<std::string> Fleet::targets(Instant now, std::uint64_t turn) const
 {
     const std::uint64_t seed = stableHash(m_ownName, turn + 1);
