--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -97,6 +97,9 @@
     void account(const RoutedCall &call, const std::optional<Answer> &answer);
     [[nodiscard]] bool isKeyFresh() const;
     [[nodiscard]] Answer notRun(std::string_view reason, std::string_view message) const;
+    /// Refuses what the table doesn't have. A newer table may have it, so only a confirmed one proves that.
+    [[nodiscard]] Answer refuseUnknown(int status, std::string_view reason, std::string_view field,
+                                       std::string_view message) const;
 
     RouterSettings m_settings;
     WireInterface m_wire;
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -75,6 +75,11 @@
     return text.str();
 }
 
+void respondJson(Exchange &exchange, int status, std::string_view body, const Fiber &fiber)
+{
+    exchange.respond(status, "application/json", body, {}, fiber);
+}
+
 milliseconds partOf(milliseconds time, double part)
 {
     return milliseconds(static_cast<milliseconds::rep>(static_cast<double>(time.count()) * part));
@@ -204,21 +209,20 @@
     {
         const bool known = platform::isReadinessCall(exchange.request());
         const int status = !known ? StatusNotFound : isServing() ? StatusOk : StatusUnavailable;
-        exchange.respond(status, "application/json", "{}", {}, fiber);
+        respondJson(exchange, status, "{}", fiber);
     }
 
     void answerDirectory(Exchange &exchange, const Fiber &fiber)
     {
         if (!platform::isDirectoryCall(exchange.request())) {
-            exchange.respond(StatusNotFound, "application/json", "{}", {}, fiber);
+            respondJson(exchange, StatusNotFound, "{}", fiber);
             return;
         }
         auto instances = m_state.fleet.alive(now());
         instances.push_back(self());
         const auto addresses = callerAddresses(std::move(instances), ++m_directoryAnswers);
         const int status = addresses.empty() ? StatusUnavailable : StatusOk;
-        exchange.respond(status, "application/json", platform::directoryAnswer(addresses, DirectoryLife), {},
-                         fiber);
+        respondJson(exchange, status, platform::directoryAnswer(addresses, DirectoryLife), fiber);
     }
 
     void answerPeer(Exchange &exchange, const Fiber &fiber)
@@ -227,10 +231,10 @@
             m_feed.serve(exchange, fiber);
             return;
         }
-        const bool known =
-            !exchange.request().fault && exchange.request().target == TablePath && !m_tableText.empty();
-        const std::string text = known ? m_tableText : std::string("{}");
-        exchange.respond(known ? StatusOk : StatusNotFound, "application/json", text, {}, fiber);
+        if (!exchange.request().fault && exchange.request().target == TablePath && !m_tableText.empty())
+            respondJson(exchange, StatusOk, m_tableText, fiber);
+        else
+            respondJson(exchange, StatusNotFound, "{}", fiber);
     }
 
     void answerOperator(Exchange &exchange, const Fiber &fiber) const
@@ -239,9 +243,9 @@
         if (!request.fault && request.target == MetricsPath)
             exchange.respond(StatusOk, "text/plain; version=0.0.4", m_state.metrics.exposition(), {}, fiber);
         else if (!request.fault && request.target == StatePath)
-            exchange.respond(StatusOk, "application/json", stateText(m_state, now()), {}, fiber);
+            respondJson(exchange, StatusOk, stateText(m_state, now()), fiber);
         else
-            exchange.respond(StatusNotFound, "application/json", "{}", {}, fiber);
+            respondJson(exchange, StatusNotFound, "{}", fiber);
     }
 
     void keepHouse(const Fiber &fiber)
--- a/src/daemon/storewatch.cpp
+++ b/src/daemon/storewatch.cpp
@@ -26,6 +26,14 @@
 constexpr milliseconds FeedWait{700};
 constexpr milliseconds FeedTimeout{300};
 
+/// The last instant of which an answer to a waiting call tells. Without changes it was sent after the whole
+/// wait, at the end of which there were none; otherwise at some time since the call.
+Instant knownAtOf(const std::vector<PublishedItem> &changes, Instant start, milliseconds wait)
+{
+    const bool waited = changes.empty() && now() - start >= wait;
+    return waited ? start + wait : start;
+}
+
 std::string faultText(const Faults &faults)
 {
     return faults.empty() ? std::string() : faults[0].path + ' ' + faults[0].message;
@@ -110,10 +118,8 @@
     if (answer->lapseLeft > milliseconds(0))
         m_state.catalog.keepLapsedUntil(now() + answer->lapseLeft);
     take(answer->items, answer->at);
-    // An empty answer was sent after the whole wait, any other one at some time since the call.
-    const bool waited = answer->items.empty() && now() - start >= FeedWait;
     if (answer->confirmedAge) {
-        const Instant knownAt = (waited ? start + FeedWait : start) - *answer->confirmedAge;
+        const Instant knownAt = knownAtOf(answer->items, start, FeedWait) - *answer->confirmedAge;
         confirm(knownAt);
         if (fresh)
             noteSuccess(knownAt);
@@ -224,9 +230,7 @@
     if (!changes)
         return false;
     take(changes->items, changes->at);
-    // An empty answer comes after the whole wait, at the end of which nothing had changed.
-    const bool waited = changes->items.empty() && now() - start >= m_wait;
-    const Instant knownAt = waited ? start + m_wait : start;
+    const Instant knownAt = knownAtOf(changes->items, start, m_wait);
     confirm(knownAt);
     noteSuccess(knownAt);
     if (const Instant passed = now() - start; passed < CallGap)
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -70,6 +70,14 @@
     return refusal(503, Verdict::NotRun, reason, "instance", message);
 }
 
+Answer Router::refuseUnknown(int status, std::string_view reason, std::string_view field,
+                             std::string_view message) const
+{
+    if (!m_state.freshness.isWithin(m_settings.applyWithin, now()))
+        return notRun("stale-configuration", "the configuration has not been confirmed lately");
+    return refusal(status, Verdict::NotRun, reason, field, message);
+}
+
 bool Router::isKeyFresh() const
 {
     return !m_settings.keyAge || m_state.freshness.isWithin(*m_settings.keyAge, now());
@@ -84,10 +92,7 @@
         return notRun("no-configuration", "this instance has not read a configuration yet");
     call.route = findRoute(*call.table, call.request.host, call.request.target);
     if (call.route == nullptr) {
-        // A newer table may have the route, so only a confirmed one proves that there is none.
-        if (!m_state.freshness.isWithin(m_settings.applyWithin, now()))
-            return notRun("stale-configuration", "the configuration has not been confirmed lately");
-        return refusal(404, Verdict::NotRun, "no-route", "target", "no route matches the host and path");
+        return refuseUnknown(404, "no-route", "target", "no route matches the host and path");
     }
     const milliseconds patience = call.request.patience.value_or(call.route->timeout);
     call.endBy = call.arrivedAt + std::min(patience, call.route->timeout);
@@ -103,9 +108,7 @@
         return std::nullopt;
     call.account = findAccount(*call.table, call.request.key);
     if (call.account == nullptr) {
-        if (!m_state.freshness.isWithin(m_settings.applyWithin, now()))
-            return notRun("stale-configuration", "the configuration has not been confirmed lately");
-        return refusal(401, Verdict::NotRun, "unknown-key", "key", "no client account holds this key");
+        return refuseUnknown(401, "unknown-key", "key", "no client account holds this key");
     }
     if (!isKeyFresh())
         return notRun("unconfirmed-key", "it can't be shown that the key is still valid");
