Remove what nothing calls any more

Catalog::noteCold never had a caller; ColdShare::admit lost its own when cold upstreams were looked at before one is chosen. The tests press the share through the two calls that the router makes; their bounds are as they were.

--- a/include/chestnutsill/policy/catalog.h
+++ b/include/chestnutsill/policy/catalog.h
@@ -80,9 +80,6 @@
     /// restarted.
     void suspectRestart(std::string_view id, Instant now);
 
-    /// Notes how much longer an upstream says that it is cold.
-    void noteCold(std::string_view id, milliseconds coldFor, Instant now);
-
     /// Records that the store could not be read since `lastAnswerAt`, or can be read again, which starts
     /// `LapseGrace`.
     void storeLost(Instant lastAnswerAt) noexcept;
--- a/include/chestnutsill/policy/coldshare.h
+++ b/include/chestnutsill/policy/coldshare.h
@@ -25,10 +25,6 @@
     [[nodiscard]] bool mayAdmit(std::string_view upstream, double perSecond, std::string_view ownName,
                                 std::span<const std::string> instances, Instant now) const;
 
-    /// The same, and counts the request if it may be sent.
-    [[nodiscard]] bool admit(std::string_view upstream, double perSecond, std::string_view ownName,
-                             std::span<const std::string> instances, Instant now);
-
     /// Records that this instance sends a request to a cold upstream, which it may.
     void noteSent(std::string_view upstream, Instant now);
 
--- a/src/policy/catalog.cpp
+++ b/src/policy/catalog.cpp
@@ -72,13 +72,6 @@
     record.coldUntil = std::max<Instant>(record.coldUntil, now + coldStartOf(record.entry.service));
 }
 
-void Catalog::noteCold(std::string_view id, milliseconds coldFor, Instant now)
-{
-    const auto found = m_upstreams.find(id);
-    if (found != m_upstreams.end())
-        found->second.coldUntil = now + coldFor;
-}
-
 void Catalog::storeLost(Instant lastAnswerAt) noexcept
 {
     if (!m_storeLost)
--- a/src/policy/coldshare.cpp
+++ b/src/policy/coldshare.cpp
@@ -32,15 +32,6 @@
            && isSender(upstream, ownName, instances);
 }
 
-bool ColdShare::admit(std::string_view upstream, double perSecond, std::string_view ownName,
-                      std::span<const std::string> instances, Instant now)
-{
-    if (!mayAdmit(upstream, perSecond, ownName, instances, now))
-        return false;
-    noteSent(upstream, now);
-    return true;
-}
-
 void ColdShare::noteSent(std::string_view upstream, Instant now)
 {
     m_lastSent.insert_or_assign(std::string(upstream), now);
--- a/tests/policy/sharestest.cpp
+++ b/tests/policy/sharestest.cpp
@@ -38,6 +38,16 @@
     return most;
 }
 
+/// Sends a request to a cold upstream if the share allows it; returns whether it does.
+bool admit(ColdShare &share, std::string_view upstream, double perSecond, std::string_view ownName,
+           std::span<const std::string> instances, Instant now)
+{
+    if (!share.mayAdmit(upstream, perSecond, ownName, instances, now))
+        return false;
+    share.noteSent(upstream, now);
+    return true;
+}
+
 /// All instances of a view press a cold upstream as fast as they can; returns when they sent.
 std::vector<Instant> press(const std::vector<std::string> &view, std::string_view upstream, Instant from)
 {
@@ -45,7 +55,7 @@
     std::vector<ColdShare> shares(view.size());
     for (Instant time = from; time < from + seconds(6); time += milliseconds(1)) {
         for (std::size_t i = 0; i < view.size(); ++i) {
-            if (shares[i].admit(upstream, ColdPerSecond, view[i], view, time))
+            if (admit(shares[i], upstream, ColdPerSecond, view[i], view, time))
                 sent.push_back(time);
         }
     }
@@ -77,7 +87,7 @@
 TEST_CASE("cold share: an upstream that bears nothing gets nothing")
 {
     ColdShare share;
-    CHECK_FALSE(share.admit("u1", 0, "me", names(0, 1), seconds(1)));
+    CHECK_FALSE(admit(share, "u1", 0, "me", names(0, 1), seconds(1)));
 }
 
 TEST_CASE("repeat budget: all instances together stay under the bound of every window")
