One sum for the cost of a candidate

The predicted first token had no reader left, the risk of reading twice was added apart from reading again, and each candidate was hashed twice.

--- a/emulator/policies.cpp
+++ b/emulator/policies.cpp
@@ -11,7 +11,7 @@
 
 Placement at(std::span<const PlacingCandidate> candidates, std::size_t index, const Prompt &prompt)
 {
-    return {index, 0, std::max(prompt.tokens - candidates[index].cachedTokens, 0.0), std::nullopt};
+    return {index, std::max(prompt.tokens - candidates[index].cachedTokens, 0.0), std::nullopt};
 }
 
 Placement placeLeast(std::span<const PlacingCandidate> candidates, const Prompt &prompt,
--- a/include/chestnutsill/policy/placing.h
+++ b/include/chestnutsill/policy/placing.h
@@ -49,11 +49,10 @@
     double waitMs = 30;
 };
 
-/// Which upstream takes a request, and when its answer is expected to begin.
+/// Which upstream takes a request.
 struct Placement
 {
     std::size_t candidate = 0;
-    double firstTokenMs = 0;
     /// Tokens of the prompt that it will have to read.
     double unreadTokens = 0;
     /// The candidate whose memory it is to fetch shared parts from.
--- a/src/policy/placing.cpp
+++ b/src/policy/placing.cpp
@@ -72,10 +72,10 @@
     return best;
 }
 
-double jitter(std::string_view upstream, std::uint64_t seed)
+double jitter(std::uint64_t draw)
 {
     constexpr std::uint64_t Steps = 1024;
-    return JitterMs * static_cast<double>(stableHash(upstream, seed) % Steps) / Steps;
+    return JitterMs * static_cast<double>(draw % Steps) / Steps;
 }
 
 /// The candidate, other than `taker`, that has read most of a prompt; among equal ones it differs from
@@ -125,9 +125,7 @@
 /// What is expected of one candidate.
 struct Estimate
 {
-    double firstTokenMs = 0;
     double unreadTokens = 0;
-    double fetchedTokens = 0;
     double cost = 0;
 };
 
@@ -139,32 +137,38 @@
     return fetchMs < tokens / speed.promptTokensPerMs ? tokens : 0;
 }
 
+/// How long a request waits for what its upstream has before it, in milliseconds.
+double waitMsAt(const PlacingCandidate &candidate, const PlacingSpeed &speed)
+{
+    const double waitMs =
+        candidate.unreadTokens / speed.promptTokensPerMs + candidate.running * speed.runningMs;
+    const int over = candidate.running - candidate.slots + 1;
+    return over > 0 ? waitMs + over * speed.waitMs : waitMs;
+}
+
+/// `draw` is a random number that belongs to the request and the candidate.
 Estimate estimate(const PlacingCandidate &candidate, bool isHome, const Prompt &prompt,
                   const Whereabouts &where, double rereadWeight, const PlacingSpeed &speed,
-                  std::uint64_t seed)
+                  std::uint64_t draw)
 {
     const bool canFetch = speed.fetchTokensPerMs > 0;
     const double held =
         isHome && !canFetch ? std::max(candidate.cachedTokens, where.shared) : candidate.cachedTokens;
-    Estimate result;
-    result.fetchedTokens = tokensToFetch(held, where, speed);
-    result.unreadTokens = std::max(prompt.tokens - candidate.cachedTokens - result.fetchedTokens, 0.0);
-    const double unread = std::max(prompt.tokens - held - result.fetchedTokens, 0.0);
-    const double again = std::clamp(where.known - held - result.fetchedTokens, 0.0, unread);
+    const double fetched = tokensToFetch(held, where, speed);
+    const double fetchMs = fetched > 0 ? FetchSetupMs + fetched / speed.fetchTokensPerMs : 0;
+    const double unread = std::max(prompt.tokens - held - fetched, 0.0);
     const double readMs = unread / speed.promptTokensPerMs;
-    double waitMs = candidate.unreadTokens / speed.promptTokensPerMs + candidate.running * speed.runningMs;
-    if (candidate.running >= candidate.slots)
-        waitMs += (candidate.running - candidate.slots + 1) * speed.waitMs;
-    if (result.fetchedTokens > 0)
-        waitMs += FetchSetupMs + result.fetchedTokens / speed.fetchTokensPerMs;
-    result.firstTokenMs = waitMs + readMs;
+    // Tokens that another upstream holds, or that the one that ranks first may be reading unknown to this
+    // one.
+    const double twice = std::clamp(where.known - held - fetched, 0.0, unread)
+                         + (isHome ? 0 : std::max(where.shared - where.known, 0.0));
     const double harmMs = readMs * candidate.running * PauseWeight;
-    result.cost = waitMs + readMs + again / speed.promptTokensPerMs * (rereadWeight - 1) + harmMs
-                  + result.fetchedTokens / speed.promptTokensPerMs * FetchWeight
-                  + candidate.failureShare * FailureMs + (candidate.sameZone ? 0 : OtherZoneMs)
-                  + candidate.apartMs + jitter(candidate.upstream, seed);
-    if (!isHome && where.known < where.shared)
-        result.cost += (where.shared - where.known) / speed.promptTokensPerMs * (rereadWeight - 1);
+    Estimate result;
+    result.unreadTokens = std::max(prompt.tokens - candidate.cachedTokens - fetched, 0.0);
+    result.cost = waitMsAt(candidate, speed) + fetchMs + readMs + harmMs
+                  + twice / speed.promptTokensPerMs * (rereadWeight - 1)
+                  + fetched / speed.promptTokensPerMs * FetchWeight + candidate.failureShare * FailureMs
+                  + (candidate.sameZone ? 0 : OtherZoneMs) + candidate.apartMs + jitter(draw);
     return result;
 }
 
@@ -238,12 +242,13 @@
         const PlacingCandidate &candidate = candidates[i];
         const bool isHome = where.home == i;
         const bool holdsShared = where.shared > 0 && candidate.cachedTokens >= where.shared;
-        if (!isHome && !holdsShared && !candidate.scarce && stableHash(candidate.upstream, seed) % stride != 0
+        const std::uint64_t draw = stableHash(candidate.upstream, seed);
+        if (!isHome && !holdsShared && !candidate.scarce && draw % stride != 0
             && (best || i + 1 < candidates.size()))
             continue;
-        const Estimate expected = estimate(candidate, isHome, prompt, where, rereadWeight, speed, seed);
+        const Estimate expected = estimate(candidate, isHome, prompt, where, rereadWeight, speed, draw);
         if (!best || expected.cost < bestCost) {
-            best = Placement{i, expected.firstTokenMs, expected.unreadTokens, std::nullopt};
+            best = Placement{i, expected.unreadTokens, std::nullopt};
             bestCost = expected.cost;
         }
     }
