What an upstream holds of a prompt is looked up once; the emulator borrows from the bench

The router and the emulator walked a prompt's parts twice for each upstream, for what is held and for what is read of it. The emulator had percentiles of its own beside the bench's, and the length of a heartbeat period beside the fleet's.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,5 @@
 #include "scenes.h"
+#include "statistics.h"
 
 #include <boost/program_options.hpp>
 
@@ -42,19 +43,6 @@
     return spread(values, digits);
 }
 
-double percent(std::int64_t part, std::int64_t whole)
-{
-    return whole == 0 ? 0 : 100.0 * static_cast<double>(part) / static_cast<double>(whole);
-}
-
-double percentile(std::vector<double> values, double share)
-{
-    if (values.empty())
-        return 0;
-    std::sort(values.begin(), values.end());
-    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-}
-
 void printSystem(const std::string &system, const std::vector<SceneResult> &results)
 {
     for (const auto &[name, first] : results[0].outcomes) {
--- a/emulator/fleetpicture.cpp
+++ b/emulator/fleetpicture.cpp
@@ -1,6 +1,6 @@
 #include "fleetpicture.h"
 
-#include "chestnutsill/policy/fleet.h"
+#include <algorithm>
 
 namespace chestnutsill::emulator {
 
@@ -99,12 +99,13 @@
 {
     const Member &viewer = m_members[static_cast<std::size_t>(instance)];
     const Load load = viewer.loads.total(upstream, now);
+    const HeldTokens held = viewer.parts.held(upstream, prompt);
     return {.upstream = upstream,
             .slots = slots,
             .running = load.running,
             .unreadTokens = load.unreadTokens,
-            .cachedTokens = viewer.parts.cachedTokens(upstream, prompt),
-            .readTokens = viewer.parts.readTokens(upstream, prompt)};
+            .cachedTokens = held.cached,
+            .readTokens = held.read};
 }
 
 } // namespace chestnutsill::emulator
--- a/emulator/fleetpicture.h
+++ b/emulator/fleetpicture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutsill/policy/fleet.h"
 #include "chestnutsill/policy/placing.h"
 #include "chestnutsill/policy/upstreamload.h"
 
@@ -16,7 +17,7 @@
 {
 public:
     /// Time between two heartbeats of an instance, in milliseconds.
-    static constexpr double PeriodMs = 200;
+    static constexpr double PeriodMs = std::chrono::duration<double, std::milli>(Fleet::Period).count();
 
     FleetPicture(int instances, int zones);
 
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -1,3 +1,4 @@
+#include "statistics.h"
 #include "world.h"
 
 #include <boost/program_options.hpp>
@@ -13,22 +14,10 @@
 namespace options = boost::program_options;
 using namespace chestnutsill;
 using namespace chestnutsill::emulator;
+using bench::percent;
+using bench::percentile;
 
 constexpr int BadUsage = 2;
-constexpr double Percent = 100;
-
-double percentile(std::vector<double> values, double share)
-{
-    if (values.empty())
-        return 0;
-    std::sort(values.begin(), values.end());
-    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-}
-
-double percent(std::size_t part, std::size_t whole)
-{
-    return whole == 0 ? 0 : Percent * static_cast<double>(part) / static_cast<double>(whole);
-}
 
 /// Adds up the results of several seeds.
 Result sum(const std::vector<Result> &results)
@@ -68,11 +57,13 @@
               << total.tokensRead / Million << " | " << total.sharedReadAgain / Million << " | "
               << total.fetched / Million << " | " << total.preempted << " |\n";
     for (const ClassResult &each : total.classes) {
-        const std::size_t failed = each.offered - each.onTime - each.late;
+        const auto offered = static_cast<std::int64_t>(each.offered);
+        const auto onTime = static_cast<std::int64_t>(each.onTime);
+        const auto late = static_cast<std::int64_t>(each.late);
         std::cout << "| " << policy << " | " << each.name << " | " << std::setprecision(3)
                   << (each.owed > 0 ? each.earned / each.owed : 0) << " | " << std::setprecision(1)
-                  << percent(each.onTime, each.offered) << " | " << percent(each.late, each.offered) << " | "
-                  << percent(failed, each.offered) << " | " << std::setprecision(0)
+                  << percent(onTime, offered) << " | " << percent(late, offered) << " | "
+                  << percent(offered - onTime - late, offered) << " | " << std::setprecision(0)
                   << percentile(each.firstMs, 0.5) << ", " << percentile(each.firstMs, 0.95)
                   << " | | | | |\n";
     }
--- a/emulator/world.cpp
+++ b/emulator/world.cpp
@@ -1,16 +1,13 @@
 #include "world.h"
 
 #include "chestnutsill/policy/hash.h"
-#include "chestnutsill/policy/upstreamload.h"
 #include "fleetpicture.h"
 
 #include <algorithm>
 #include <cmath>
 #include <functional>
-#include <numeric>
 #include <queue>
 #include <random>
-#include <set>
 #include <unordered_map>
 
 namespace chestnutsill::emulator {
--- a/include/chestnutsill/policy/upstreamload.h
+++ b/include/chestnutsill/policy/upstreamload.h
@@ -81,6 +81,15 @@
     bool read = false;
 };
 
+/// How many tokens at the start of a prompt an upstream holds.
+struct HeldTokens
+{
+    /// Those that it needn't read when it comes to the prompt: it has read them, or will have by then.
+    double cached = 0;
+    /// Those of them that it has read already, so that another upstream can fetch them.
+    double read = 0;
+};
+
 /// Which prompt parts an upstream is likely to hold, from the work of all instances, least recently used
 /// first out. Not thread-safe.
 class PartCache
@@ -89,11 +98,18 @@
     /// Heartbeats that carry each copy, since single ones get lost.
     static constexpr int TimesTold = 3;
 
-    /// Tokens at the start of a prompt that the upstream holds, or will hold when it comes to the prompt.
-    [[nodiscard]] double cachedTokens(std::string_view upstream, const Prompt &prompt) const;
+    /// What an upstream holds of a prompt.
+    [[nodiscard]] HeldTokens held(std::string_view upstream, const Prompt &prompt) const;
 
-    /// Those of them that it has read already, so that another upstream can fetch them.
-    [[nodiscard]] double readTokens(std::string_view upstream, const Prompt &prompt) const;
+    [[nodiscard]] double cachedTokens(std::string_view upstream, const Prompt &prompt) const
+    {
+        return held(upstream, prompt).cached;
+    }
+
+    [[nodiscard]] double readTokens(std::string_view upstream, const Prompt &prompt) const
+    {
+        return held(upstream, prompt).read;
+    }
 
     /// Records that this instance lets an upstream read a prompt; `capacity` is its memory in tokens.
     void store(std::string_view upstream, const Prompt &prompt, std::uint64_t capacity);
@@ -128,7 +144,6 @@
 
     static void put(Holding &holding, std::span<const PromptPart> parts, bool read);
     [[nodiscard]] static bool holds(const Holding &holding, const PartCopy &copy);
-    [[nodiscard]] double tokensOf(std::string_view upstream, const Prompt &prompt, bool onlyRead) const;
     void record(std::string_view upstream, const Prompt &prompt, bool read);
 
     /// By hash of the upstream's id.
--- a/src/policy/upstreamload.cpp
+++ b/src/policy/upstreamload.cpp
@@ -84,31 +84,24 @@
     return shares;
 }
 
-double PartCache::tokensOf(std::string_view upstream, const Prompt &prompt, bool onlyRead) const
+HeldTokens PartCache::held(std::string_view upstream, const Prompt &prompt) const
 {
+    HeldTokens tokens;
     const auto found = m_holdings.find(stableHash(upstream));
     if (found == m_holdings.end())
-        return 0;
-    double tokens = 0;
+        return tokens;
+    bool allRead = true;
     for (const PromptPart &part : prompt.parts) {
-        const auto held = found->second.byId.find(part.id);
-        if (held == found->second.byId.end() || (onlyRead && !held->second->read))
+        const auto known = found->second.byId.find(part.id);
+        if (known == found->second.byId.end())
             break;
-        tokens += part.tokens;
+        allRead = allRead && known->second->read;
+        tokens.cached += part.tokens;
+        tokens.read += allRead ? part.tokens : 0;
     }
     return tokens;
 }
 
-double PartCache::cachedTokens(std::string_view upstream, const Prompt &prompt) const
-{
-    return tokensOf(upstream, prompt, false);
-}
-
-double PartCache::readTokens(std::string_view upstream, const Prompt &prompt) const
-{
-    return tokensOf(upstream, prompt, true);
-}
-
 void PartCache::put(Holding &holding, std::span<const PromptPart> parts, bool read)
 {
     // From the last part to the first, since a part is of no use once one before it has gone.
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -67,12 +67,13 @@
                 continue;
         }
         const Load load = m_state.loads.total(id, time);
+        const HeldTokens held = m_state.parts.held(id, call.request.prompt);
         found.push_back({.upstream = id,
                          .slots = record->entry.slots,
                          .running = load.running,
                          .unreadTokens = load.unreadTokens,
-                         .cachedTokens = m_state.parts.cachedTokens(id, call.request.prompt),
-                         .readTokens = m_state.parts.readTokens(id, call.request.prompt),
+                         .cachedTokens = held.cached,
+                         .readTokens = held.read,
                          .failureShare = m_state.judge.failureShare(id, time),
                          .scarce = isCold,
                          .sameZone = record->entry.zone == m_settings.zone});
