--- a/tests/entry/faulttest.cpp
+++ b/tests/entry/faulttest.cpp
@@ -6,21 +6,13 @@
 #include <future>
 
 using namespace chestnutsill;
+using support::callTo;
 using support::Site;
 using support::SiteCall;
 using support::waitUntil;
 
 namespace {
 
-SiteCall callTo(const std::string &path, const std::string &attemptId, const std::string &body = "{}")
-{
-    SiteCall call;
-    call.path = path;
-    call.attemptId = attemptId;
-    call.body = body;
-    return call;
-}
-
 void orderAll(Site &site, const std::vector<std::string> &ids, const std::string &order)
 {
     for (const std::string &id : ids)
--- a/tests/entry/pathtest.cpp
+++ b/tests/entry/pathtest.cpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 using namespace chestnutsill;
+using support::callTo;
 using support::Site;
 using support::SiteCall;
 using support::waitUntil;
@@ -15,15 +16,6 @@
 constexpr const char *WholeStream = "id: 1\ndata: token\n\nid: 2\ndata: token\n\nid: 3\ndata: token\n\n"
                                     "id: 4\ndata: token\n\nid: 5\ndata: token\n\nid: 6\ndata: token\n\n";
 
-SiteCall callTo(const std::string &path, const std::string &attemptId, const std::string &body = "{}")
-{
-    SiteCall call;
-    call.path = path;
-    call.attemptId = attemptId;
-    call.body = body;
-    return call;
-}
-
 } // namespace
 
 TEST_CASE("entry: requests of each kind reach an upstream and their answers come back whole")
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -92,9 +92,7 @@
         for (const char *path : {"/plain/x", "/booking/x", "/stream/x"}) {
             const bool served = support::waitUntil(
                 [&] {
-                    support::SiteCall call;
-                    call.path = path;
-                    call.attemptId = "recovery";
+                    support::SiteCall call = support::callTo(path, "recovery");
                     call.timeout = std::chrono::seconds(3);
                     const auto answer = site.call(i, call);
                     return answer && answer->head.status == 200;
--- a/tests/soak/load.cpp
+++ b/tests/soak/load.cpp
@@ -45,10 +45,8 @@
         seen.id = "c" + std::to_string(caller) + '-' + std::to_string(number);
         seen.path = Paths[random() % Paths.size()];
         seen.key = random() % 3 == 0 ? "key-2" : "key-1";
-        support::SiteCall call;
-        call.path = seen.path;
+        support::SiteCall call = support::callTo(seen.path, seen.id);
         call.key = seen.key;
-        call.attemptId = seen.id;
         call.fields = {{"X-Deadline-Ms", "3000"}};
         call.timeout = CallTimeout;
         const std::size_t instance = random() % m_site.instances().size();
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -43,6 +43,15 @@
 
 } // namespace
 
+SiteCall callTo(const std::string &path, const std::string &attemptId, const std::string &body)
+{
+    SiteCall call;
+    call.path = path;
+    call.attemptId = attemptId;
+    call.body = body;
+    return call;
+}
+
 Site::Site(const std::string &name)
     : m_folder(std::string(CHESTNUTSILL_BUILD) + "/sites/" + name + '-' + std::to_string(::getpid()))
     , m_storeAddress(loopback(freePort()))
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -24,6 +24,10 @@
     std::chrono::milliseconds timeout = std::chrono::seconds(10);
 };
 
+/// A call to a path under an attempt id; without one the site gives it one.
+[[nodiscard]] SiteCall callTo(const std::string &path, const std::string &attemptId,
+                              const std::string &body = "{}");
+
 /// One site of the users' platform on loopback, all of it real processes: the store, upstreams that are
 /// published in it, and instances, each with an IP address of its own in 127.0.0.0/8. Everything ends with
 /// it.
