Only hubs call the store while it is away, with backoff; other instances stay with their hub

Cause: a feed whose confirmation was older than 2.5 s counted as failed for three seconds, for each hub in turn, so that within two seconds of an outage every instance had no peer left and called the store itself, every 80 to 250 ms.

Change: a stale peer is told from one that does not answer. An instance whose hubs are all stale stays with its own, or with one whose confirmation is newer by two seconds, and lets the poll wait there; hubs alone call the store, each failure doubling the delay up to 800 ms, with jitter. A hub that regains the store wakes its followers. What may be served by the age of the confirmation is unchanged.

Tests: the selector's cases, among them a play of an outage with 10 and 50 members a zone that must count the same calls; a poll that accepts a stale answer waits.

--- a/include/chestnutsill/policy/feedselector.h
+++ b/include/chestnutsill/policy/feedselector.h
@@ -3,6 +3,7 @@
 #include "chestnutsill/policy/instant.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,40 +13,85 @@
 /// Peers whose feed of the store an instance may follow.
 struct FeedCandidates
 {
-    /// Whether the store itself is preferred, because other instances follow the feed of this one.
-    bool storeFirst = false;
     /// Peer addresses in order of preference.
     std::vector<std::string> addresses;
+    /// Whether this instance is a hub, which reads the store itself for the instances that follow it.
+    bool isHub = false;
+};
+
+/// Source from which an instance reads the changes of the store.
+struct FeedSource
+{
+    /// Address of the peer to follow; empty for the store itself.
+    std::string peer;
+    /// Whether to stay with the peer even if its confirmation is stale.
+    bool acceptsStale = false;
+
+    bool operator==(const FeedSource &) const = default;
 };
 
 /// Selects the source from which an instance reads the changes of the store: the store itself or the feed of
-/// a peer. A source that has failed is not used for a while; the next candidate replaces it. Thus a hub that
-/// cannot reach the store follows the hub of another availability zone, and its followers don't have to query
-/// the store one by one. Not thread-safe.
+/// a peer. A hub that cannot reach the store follows the hub of another availability zone. When no hub can
+/// reach the store, only the hubs keep calling it, with exponential backoff: the other instances stay with
+/// their hub, whose old feed is still the newest that can be had. So the number of calls in an outage of the
+/// store depends on the number of hubs and not on that of instances. Not thread-safe.
 class FeedSelector
 {
 public:
-    /// Time for which a failed source is not used.
+    /// Time for which a source that has failed, or a peer whose feed is stale, is passed over.
     static constexpr milliseconds FailureBackoff{3000};
+    /// An instance moves from one stale peer to another only if the latter's confirmation is newer by this:
+    /// more than the difference between hubs that lost the store at the same instant.
+    static constexpr milliseconds StaleMargin{2000};
+    /// Delay after the first failed call to the store, and its maximum. It doubles with each failure.
+    static constexpr milliseconds MinStoreRetryDelay{100};
+    static constexpr milliseconds MaxStoreRetryDelay{800};
 
-    /// Address of the peer to follow, or empty for the store itself, which is also the last resort if all
-    /// sources have failed recently.
-    [[nodiscard]] std::string select(const FeedCandidates &candidates, Instant now) const;
+    /// The source to read next. The store is the last resort if all peers have failed recently.
+    [[nodiscard]] FeedSource select(const FeedCandidates &candidates, Instant now) const;
 
-    /// Whether there is a peer that has not failed recently.
+    /// Whether there is a peer that has neither failed nor been stale recently.
     [[nodiscard]] bool hasUsablePeer(const FeedCandidates &candidates, Instant now) const;
 
-    /// Records that a peer does not answer or that its feed is stale.
+    /// Records that a peer does not answer.
     void recordPeerFailure(std::string_view address, Instant now);
 
+    /// Records that a peer's feed is stale. `confirmedAt` is the instant of its latest confirmation, if it
+    /// has any.
+    void recordStalePeer(std::string_view address, std::optional<Instant> confirmedAt, Instant now);
+
+    /// Records that a peer's feed is fresh.
+    void recordFreshPeer(std::string_view address);
+
     /// Records that the store does not answer.
-    void recordStoreFailure(Instant now) noexcept { m_storeBackoffUntil = now + FailureBackoff; }
+    void recordStoreFailure(Instant now) noexcept;
+
+    /// Records that the store has answered.
+    void recordStoreAnswer() noexcept { m_storeFailures = 0; }
+
+    /// How long to wait before the next call after a failure of the store: the current backoff delay scaled
+    /// by a random factor between 0.5 and 1. `randomFraction` is in the range 0 to 1.
+    [[nodiscard]] milliseconds storeRetryDelay(double randomFraction) const noexcept;
 
 private:
+    struct PeerState
+    {
+        Instant backoffUntil{};
+        /// Whether the peer answered and only its confirmation was stale.
+        bool isStale = false;
+        /// The latest confirmation of a stale peer.
+        Instant confirmedAt{};
+    };
+
+    [[nodiscard]] bool isUsable(const std::string &address, Instant now) const;
     [[nodiscard]] std::string firstUsablePeer(const FeedCandidates &candidates, Instant now) const;
+    /// Among the stale peers the first one, unless the confirmation of another is newer by `StaleMargin`.
+    [[nodiscard]] std::string bestStalePeer(const FeedCandidates &candidates) const;
 
-    std::map<std::string, Instant, std::less<>> m_peerBackoffUntil;
+    std::map<std::string, PeerState, std::less<>> m_peers;
     Instant m_storeBackoffUntil{};
+    /// Consecutive failed calls to the store.
+    int m_storeFailures = 0;
 };
 
 } // namespace chestnutsill
--- a/src/daemon/peerfeed.cpp
+++ b/src/daemon/peerfeed.cpp
@@ -37,7 +37,8 @@
     const milliseconds wait(std::min<milliseconds::rep>(
         static_cast<milliseconds::rep>(queryNumber(target, "wait")), MaxPollDuration.count()));
     auto answer = m_answer(after);
-    if (answer && answer->items.empty() && isFresh(*answer)) {
+    const bool acceptsStale = queryNumber(target, "stale") != 0;
+    if (answer && answer->items.empty() && (acceptsStale || isFresh(*answer))) {
         boost::asio::steady_timer timer(fiber.get_executor(), wait);
         const auto position = m_waiting.insert(m_waiting.end(), &timer);
         boost::system::error_code ignored;
@@ -57,12 +58,12 @@
         timer->cancel();
 }
 
-std::optional<FeedAnswer> FeedClient::follow(const std::string &peer, std::uint64_t after, milliseconds wait,
+std::optional<FeedAnswer> FeedClient::follow(const FeedSource &source, std::uint64_t after, milliseconds wait,
                                              milliseconds timeout, const Fiber &fiber)
 {
-    const std::string target =
-        std::string(FeedPath) + "?after=" + std::to_string(after) + "&wait=" + std::to_string(wait.count());
-    const auto response = m_client.call(peer, {.target = target}, MaxAnswerBytes, timeout, fiber);
+    const std::string target = std::string(FeedPath) + "?after=" + std::to_string(after) + "&wait="
+                               + std::to_string(wait.count()) + (source.acceptsStale ? "&stale=1" : "");
+    const auto response = m_client.call(source.peer, {.target = target}, MaxAnswerBytes, timeout, fiber);
     if (!response) {
         m_reason = m_client.lastReason();
         return std::nullopt;
--- a/src/daemon/peerfeed.h
+++ b/src/daemon/peerfeed.h
@@ -3,6 +3,7 @@
 #include "chestnutsill/net/exchange.h"
 #include "chestnutsill/net/keepaliveclient.h"
 #include "chestnutsill/peer/feed.h"
+#include "chestnutsill/policy/feedselector.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -24,8 +25,7 @@
 /// Whether the peer's confirmation is recent enough for it to be followed.
 [[nodiscard]] bool isFresh(const FeedAnswer &answer) noexcept;
 
-/// Relays the store's changes to followers by long polls. A response that is not fresh is sent at once, so
-/// that the follower switches to another source.
+/// Relays the store's changes to followers by long polls.
 class FeedServer
 {
 public:
@@ -34,8 +34,8 @@
         : m_answer(std::move(answer))
     {}
 
-    /// Answers a poll, waiting for changes if there are none yet. Responds with status 410 when the changes
-    /// are no longer kept.
+    /// Answers a poll, waiting for changes if there are none yet. A response that is not fresh is sent at once
+    /// unless the follower accepts it. Responds with status 410 when the changes are no longer kept.
     void serve(Exchange &exchange, const Fiber &fiber);
 
     /// Answers all waiting polls now.
@@ -50,9 +50,10 @@
 class FeedClient
 {
 public:
-    /// Polls for changes after a revision; the peer waits for them up to `wait`. Returns nothing and sets
-    /// `lastReason` when the peer does not respond within `timeout` or no longer keeps these changes.
-    [[nodiscard]] std::optional<FeedAnswer> follow(const std::string &peer, std::uint64_t after,
+    /// Polls the source's peer for changes after a revision; the peer waits for them up to `wait`. Returns
+    /// nothing and sets `lastReason` when the peer does not respond within `timeout` or no longer keeps these
+    /// changes.
+    [[nodiscard]] std::optional<FeedAnswer> follow(const FeedSource &source, std::uint64_t after,
                                                    milliseconds wait, milliseconds timeout,
                                                    const Fiber &fiber);
 
--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -13,10 +13,6 @@
 constexpr std::string_view AllItems;
 /// Time for the store to respond; a long poll may take its duration in addition.
 constexpr milliseconds ResponseTimeout{700};
-/// Range of the random delay after a failed call, so that instances that failed together do not retry
-/// together.
-constexpr milliseconds MinRetryPause{80};
-constexpr milliseconds MaxRetryPause{250};
 
 /// Minimum time between the starts of two long polls of the store. Changes come in bursts, and one poll
 /// returns all changes made since the one before.
@@ -52,21 +48,21 @@
 
 milliseconds StoreWatcher::retryPause()
 {
-    return milliseconds(std::uniform_int_distribution<milliseconds::rep>(MinRetryPause.count(),
-                                                                         MaxRetryPause.count())(m_random));
+    return m_selector.storeRetryDelay(std::uniform_real_distribution<double>()(m_random));
 }
 
 void StoreWatcher::run(const Fiber &fiber)
 {
     for (;;) {
         const FeedCandidates candidates = m_fullReadDone ? m_handlers.feedCandidates() : FeedCandidates{};
-        m_feedPeer = m_selector.select(candidates, now());
-        if (!m_feedPeer.empty()) {
-            if (!followPeer(m_feedPeer, fiber))
-                m_selector.recordPeerFailure(m_feedPeer, now());
+        m_source = m_selector.select(candidates, now());
+        if (!m_source.peer.empty()) {
+            followPeer(m_source, fiber);
             continue;
         }
-        if (!(m_fullReadDone ? followStore(fiber) : readAll(fiber))) {
+        if (m_fullReadDone ? followStore(fiber) : readAll(fiber)) {
+            m_selector.recordStoreAnswer();
+        } else {
             m_selector.recordStoreFailure(now());
             recordFailure(m_selector.hasUsablePeer(candidates, now()));
             sleepFor(retryPause(), fiber);
@@ -79,7 +75,7 @@
     if (!m_fullReadDone)
         return;
     m_lagDetector.recordPeerRevision(revision, m_changeLog.revision(), now());
-    if (!m_lagDetector.isLagging(now()) || m_feedPeer.empty())
+    if (!m_lagDetector.isLagging(now()) || m_source.peer.empty())
         return;
     // The next source gets the full `RevisionLagDetector::MaxLag` to catch up.
     m_lagDetector.restartTimer(now());
@@ -102,32 +98,41 @@
     return answer;
 }
 
-bool StoreWatcher::followPeer(const std::string &peer, const Fiber &fiber)
+void StoreWatcher::followPeer(const FeedSource &source, const Fiber &fiber)
 {
     const Instant start = now();
-    const auto answer = m_feedClient.follow(peer, m_changeLog.revision(), FeedPollDuration,
+    const auto answer = m_feedClient.follow(source, m_changeLog.revision(), FeedPollDuration,
                                             FeedPollDuration + FeedResponseTimeout, fiber);
     const bool fresh = answer && isFresh(*answer);
-    if (!fresh) {
+    if (!fresh && !(answer && source.acceptsStale)) {
         log(LogLevel::Info, "peer-feed-left",
-            {{"peer", peer},
+            {{"peer", source.peer},
              {"reason", answer ? std::string("its confirmation is too old") : m_feedClient.lastReason()},
              {"confirmedAgeMs", static_cast<std::int64_t>(
                                     answer && answer->confirmedAge ? answer->confirmedAge->count() : -1)}});
     }
-    if (!answer)
-        return false;
+    if (!answer) {
+        m_selector.recordPeerFailure(source.peer, now());
+        return;
+    }
     if (answer->removalsDelayedFor > milliseconds(0))
         m_state.catalog.delayRemovalsUntil(now() + answer->removalsDelayedFor);
-    applyChanges(answer->items, answer->revision);
+    std::optional<Instant> confirmedAt;
     if (answer->confirmedAge) {
-        const Instant confirmedAt =
-            confirmedAtOf(answer->items, start, FeedPollDuration) - *answer->confirmedAge;
-        confirmTable(confirmedAt);
-        if (fresh)
-            recordSuccess(confirmedAt);
+        confirmedAt = confirmedAtOf(answer->items, start, FeedPollDuration) - *answer->confirmedAge;
+        m_confirmedAt = std::max(m_confirmedAt, *confirmedAt);
+    }
+    applyChanges(answer->items, answer->revision);
+    if (confirmedAt)
+        confirmTable(*confirmedAt);
+    if (fresh) {
+        m_selector.recordFreshPeer(source.peer);
+        recordSuccess(*confirmedAt);
+        return;
     }
-    return fresh;
+    m_selector.recordStalePeer(source.peer, confirmedAt, now());
+    if (source.acceptsStale)
+        recordOutage("the newest confirmation of any peer is too old");
 }
 
 void StoreWatcher::applyChanges(const std::vector<PublishedItem> &items, std::uint64_t revision)
@@ -156,6 +161,8 @@
     m_followingSince = now();
     m_state.catalog.recordStoreRegained(m_followingSince);
     log(LogLevel::Info, "store-regained", {{"revision", static_cast<std::int64_t>(m_changeLog.revision())}});
+    // Followers that stayed with this instance wait for a fresh confirmation.
+    m_handlers.onChanges();
 }
 
 void StoreWatcher::recordFailure(bool hasUsablePeer)
@@ -170,8 +177,13 @@
         log(LogLevel::Info, "store-passed-over", {{"reason", m_storeClient.lastReason()}});
         return;
     }
+    recordOutage(m_storeClient.lastReason());
+}
+
+void StoreWatcher::recordOutage(const std::string &reason)
+{
     if (m_isFollowing)
-        log(LogLevel::Warning, "store-lost", {{"reason", m_storeClient.lastReason()}});
+        log(LogLevel::Warning, "store-lost", {{"reason", reason}});
     m_isFollowing = false;
     m_state.catalog.recordStoreLost(m_confirmedAt);
 }
--- a/src/daemon/storewatcher.h
+++ b/src/daemon/storewatcher.h
@@ -56,10 +56,11 @@
     [[nodiscard]] std::optional<FeedAnswer> feedAnswer(std::uint64_t after) const;
 
 private:
-    // Return false if the source has not responded, or if it is a peer whose confirmation is too old.
+    // Return false if the store has not responded.
     [[nodiscard]] bool readAll(const Fiber &fiber);
     [[nodiscard]] bool followStore(const Fiber &fiber);
-    [[nodiscard]] bool followPeer(const std::string &peer, const Fiber &fiber);
+    /// Polls a peer once and records in the selector how it answered.
+    void followPeer(const FeedSource &source, const Fiber &fiber);
     void applyChanges(const std::vector<PublishedItem> &items, std::uint64_t revision);
     void applyItem(const PublishedItem &item, Instant time);
     /// Removes the upstreams, and the zones out of service, whose keys a full read has not returned.
@@ -67,6 +68,8 @@
     void confirmTable(Instant at);
     /// Records that a call to the store failed. It counts as an outage unless a peer can be followed instead.
     void recordFailure(bool hasUsablePeer);
+    /// Records that no source confirms the local copy any more.
+    void recordOutage(const std::string &reason);
     void recordSuccess(Instant confirmedAt);
     [[nodiscard]] milliseconds retryPause();
 
@@ -86,8 +89,7 @@
     /// The latest instant at which the local copy is known to have matched the store.
     Instant m_confirmedAt{};
     FeedSelector m_selector;
-    /// Address of the peer that relays the changes; empty while the store itself is polled.
-    std::string m_feedPeer;
+    FeedSource m_source;
     RevisionLagDetector m_lagDetector;
 };
 
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -178,8 +178,8 @@
     }
     std::sort(others.begin(), others.end());
     const std::string &ownHub = all.find(m_ownZone)->second;
-    candidates.storeFirst = ownHub == m_ownName;
-    if (!candidates.storeFirst)
+    candidates.isHub = ownHub == m_ownName;
+    if (!candidates.isHub)
         candidates.addresses.push_back(peerAddressOf(ownHub));
     for (auto &[rank, address] : others)
         candidates.addresses.push_back(std::move(address));
--- a/tests/daemon/peerfeedtest.cpp
+++ b/tests/daemon/peerfeedtest.cpp
@@ -14,7 +14,7 @@
 
 /// Returns how often a feed server reads the changes to answer one poll that finds none: once, and a second
 /// time if it waited.
-int readsForOnePoll(milliseconds confirmedAge)
+int readsForOnePoll(milliseconds confirmedAge, bool acceptsStale = false)
 {
     boost::asio::io_context io;
     int reads = 0;
@@ -27,7 +27,7 @@
     std::optional<FeedAnswer> answer;
     startFiber(io, [&](const Fiber &fiber) {
         FeedClient client;
-        answer = client.follow(Address, 5, milliseconds(20), milliseconds(5000), fiber);
+        answer = client.follow({Address, acceptsStale}, 5, milliseconds(20), milliseconds(5000), fiber);
         io.stop();
     });
     io.run();
@@ -39,9 +39,11 @@
 
 } // namespace
 
-TEST_CASE("peer feed: a poll without changes waits, unless the confirmation is too old to be followed")
+TEST_CASE("peer feed: a poll without changes waits, unless the confirmation is stale and the "
+          "follower does not accept that")
 {
     CHECK(readsForOnePoll(milliseconds(100)) == 2);
     CHECK(readsForOnePoll(MaxFeedAge) == 2);
     CHECK(readsForOnePoll(MaxFeedAge + milliseconds(1)) == 1);
+    CHECK(readsForOnePoll(MaxFeedAge + milliseconds(1), true) == 2);
 }
--- a/tests/policy/feedselectortest.cpp
+++ b/tests/policy/feedselectortest.cpp
@@ -4,6 +4,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <string>
+#include <vector>
 
 using namespace chestnutsill;
 
@@ -28,34 +30,138 @@
 TEST_CASE("feed: a hub that cannot reach the store follows other hubs and retries the store later")
 {
     FeedSelector selector;
-    const FeedCandidates candidates{true, {"a", "b"}};
-    CHECK(selector.select(candidates, Start).empty());
+    const FeedCandidates candidates{{"a", "b"}, true};
+    CHECK(selector.select(candidates, Start).peer.empty());
     selector.recordStoreFailure(Start);
-    CHECK(selector.select(candidates, Start) == "a");
+    CHECK(selector.select(candidates, Start).peer == "a");
     selector.recordPeerFailure("a", Start);
-    CHECK(selector.select(candidates, Start) == "b");
-    CHECK(selector.select(candidates, Start + FeedSelector::FailureBackoff).empty());
+    CHECK(selector.select(candidates, Start).peer == "b");
+    CHECK(selector.select(candidates, Start + FeedSelector::FailureBackoff).peer.empty());
 }
 
 TEST_CASE("feed: an instance whose hub fails follows the next, and queries the store only as a last resort")
 {
     FeedSelector selector;
-    const FeedCandidates candidates{false, {"hub", "b"}};
-    CHECK(selector.select(candidates, Start) == "hub");
+    const FeedCandidates candidates{{"hub", "b"}, false};
+    CHECK(selector.select(candidates, Start).peer == "hub");
     selector.recordPeerFailure("hub", Start);
-    CHECK(selector.select(candidates, Start) == "b");
+    CHECK(selector.select(candidates, Start).peer == "b");
     selector.recordPeerFailure("b", Start + milliseconds(100));
-    CHECK(selector.select(candidates, Start + milliseconds(200)).empty());
+    CHECK(selector.select(candidates, Start + milliseconds(200)) == FeedSource{});
     CHECK_FALSE(selector.hasUsablePeer(candidates, Start + milliseconds(200)));
-    CHECK(selector.select(candidates, Start + FeedSelector::FailureBackoff) == "hub");
+    CHECK(selector.select(candidates, Start + FeedSelector::FailureBackoff).peer == "hub");
+}
+
+TEST_CASE("feed: an instance whose hubs are all stale stays with its own and does not query the store")
+{
+    FeedSelector selector;
+    const FeedCandidates candidates{{"hub", "b", "c"}, false};
+    selector.recordStalePeer("hub", Start - milliseconds(3000), Start);
+    CHECK(selector.select(candidates, Start) == FeedSource{"b", false});
+    selector.recordPeerFailure("b", Start);
+    selector.recordStalePeer("c", Start - milliseconds(2600), Start);
+    CHECK(selector.select(candidates, Start) == FeedSource{"hub", true});
+    // All are tried again after the backoff, in case one of them has regained the store.
+    CHECK(selector.select(candidates, Start + FeedSelector::FailureBackoff) == FeedSource{"hub", false});
+}
+
+TEST_CASE("feed: an instance moves to another stale hub only if that one's confirmation is much newer")
+{
+    FeedSelector selector;
+    const FeedCandidates candidates{{"hub", "b"}, false};
+    selector.recordStalePeer("b", Start, Start);
+    selector.recordStalePeer("hub", Start - FeedSelector::StaleMargin, Start);
+    CHECK(selector.select(candidates, Start) == FeedSource{"hub", true});
+    selector.recordStalePeer("hub", Start - FeedSelector::StaleMargin - milliseconds(1), Start);
+    CHECK(selector.select(candidates, Start) == FeedSource{"b", true});
+    selector.recordFreshPeer("hub");
+    CHECK(selector.select(candidates, Start) == FeedSource{"hub", false});
+}
+
+TEST_CASE("feed: calls to a store that does not answer back off up to a limit and start over after an answer")
+{
+    FeedSelector selector;
+    milliseconds last{};
+    for (int i = 0; i < 6; ++i) {
+        selector.recordStoreFailure(Start);
+        CHECK(selector.storeRetryDelay(0) >= FeedSelector::MinStoreRetryDelay / 2);
+        CHECK(selector.storeRetryDelay(1) >= last);
+        CHECK(selector.storeRetryDelay(1) <= FeedSelector::MaxStoreRetryDelay);
+        last = selector.storeRetryDelay(1);
+    }
+    CHECK(last == FeedSelector::MaxStoreRetryDelay);
+    selector.recordStoreAnswer();
+    selector.recordStoreFailure(Start);
+    CHECK(selector.storeRetryDelay(1) == FeedSelector::MinStoreRetryDelay);
+}
+
+namespace {
+
+/// Plays an outage of the store for a cluster in which each instance polls the source that its selector
+/// names: one hub for each of `zones`, and `members` other instances in each zone. Feeds are stale from the
+/// start. Returns the calls to the store in `duration`.
+int storeCallsInOutage(int zones, int members, milliseconds duration)
+{
+    constexpr milliseconds StalePoll{700};
+    constexpr milliseconds OtherPoll{5};
+    struct Instance
+    {
+        FeedCandidates candidates;
+        FeedSelector selector;
+        Instant nextAt;
+    };
+    std::vector<Instance> instances;
+    for (int zone = 0; zone < zones; ++zone) {
+        for (int i = 0; i <= members; ++i) {
+            Instance instance;
+            instance.candidates.isHub = i == 0;
+            for (int other = 0; other < zones; ++other) {
+                const int hub = (zone + other) % zones;
+                if (hub != zone || i != 0)
+                    instance.candidates.addresses.push_back("hub" + std::to_string(hub));
+            }
+            instance.nextAt = Start + milliseconds(i * 7 % 100);
+            instances.push_back(std::move(instance));
+        }
+    }
+    int calls = 0;
+    for (Instant time = Start; time < Start + duration; time += milliseconds(1)) {
+        for (Instance &instance : instances) {
+            if (time < instance.nextAt)
+                continue;
+            const FeedSource source = instance.selector.select(instance.candidates, time);
+            if (source.peer.empty()) {
+                ++calls;
+                instance.selector.recordStoreFailure(time);
+                instance.nextAt = time + instance.selector.storeRetryDelay(0);
+            } else {
+                instance.selector.recordStalePeer(source.peer, Start - milliseconds(2600), time);
+                instance.nextAt = time + (source.acceptsStale ? StalePoll : OtherPoll);
+            }
+        }
+    }
+    return calls;
+}
+
+} // namespace
+
+TEST_CASE("feed: in an outage the calls to the store depend on the number of hubs, not on that of instances")
+{
+    constexpr milliseconds Outage{8000};
+    const int calls = storeCallsInOutage(6, 10, Outage);
+    CHECK(calls > 0);
+    CHECK(storeCallsInOutage(6, 50, Outage) == calls);
+    // Each hub calls at most once per half of the largest delay, apart from the first few calls.
+    constexpr int FirstCalls = 4;
+    CHECK(calls <= 6 * (FirstCalls + Outage / (FeedSelector::MaxStoreRetryDelay / 2)));
 }
 
 TEST_CASE("feed: without peers the store is queried even right after a failure")
 {
     FeedSelector selector;
     selector.recordStoreFailure(Start);
-    CHECK(selector.select({}, Start).empty());
-    CHECK(selector.select({true, {}}, Start).empty());
+    CHECK(selector.select({}, Start) == FeedSource{});
+    CHECK(selector.select({{}, true}, Start) == FeedSource{});
 }
 
 TEST_CASE("feed: the hub of the own availability zone is preferred to the hubs of the other zones")
@@ -66,7 +172,7 @@
         const Membership membership = membershipOf(name, zone);
         const FeedCandidates candidates = membership.feedCandidates(Start);
         const std::string hub = membership.hubOf(zone, Start);
-        CHECK(candidates.storeFirst == (hub == name));
+        CHECK(candidates.isHub == (hub == name));
         CHECK(candidates.addresses.size() == (hub == name ? 3 : 4));
         if (hub != name)
             CHECK(candidates.addresses.front() == hub + ":2");
