Keep the confirmation of a hub recent when polls of the store return changes late

Cause: a long poll that returns changes confirms only its start.

Change: the next poll is as long as the age of the confirmation allows.

--- a/include/chestnutsill/policy/feedselector.h
+++ b/include/chestnutsill/policy/feedselector.h
@@ -19,6 +19,15 @@
     bool isHub = false;
 };
 
+/// A peer whose confirmation is older is not followed. The bound keeps the follower of a stuck peer well within
+/// the time limit for applying a change.
+inline constexpr milliseconds MaxFeedAge{2500};
+
+/// Duration of the next long poll of the store for an instance with followers, whose last confirmation has
+/// this age. A poll that returns changes confirms only its start, so the next one is shortened to renew the
+/// confirmation well before `MaxFeedAge`. `longest` is the duration of a poll after a recent confirmation.
+[[nodiscard]] milliseconds storePollDuration(Instant confirmationAge, milliseconds longest) noexcept;
+
 /// Source from which an instance reads the changes of the store.
 struct FeedSource
 {
--- a/src/daemon/peerfeed.h
+++ b/src/daemon/peerfeed.h
@@ -18,10 +18,6 @@
 /// Path that followers poll.
 inline constexpr std::string_view FeedPath = "/published";
 
-/// A peer whose confirmation is older is not followed. The bound keeps the follower of a stuck peer well
-/// within the time limit for applying a change.
-inline constexpr milliseconds MaxFeedAge{2500};
-
 /// Whether the peer's confirmation is recent enough for it to be followed.
 [[nodiscard]] bool isFresh(const FeedAnswer &answer) noexcept;
 
--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -242,12 +242,13 @@
 bool StoreWatcher::followStore(const Fiber &fiber)
 {
     const Instant start = now();
-    const auto changes = m_storeClient.watch(AllItems, m_changeLog.revision(), m_pollDuration,
-                                             m_pollDuration + ResponseTimeout, fiber);
+    const milliseconds wait = storePollDuration(start - m_confirmedAt, m_pollDuration);
+    const auto changes =
+        m_storeClient.watch(AllItems, m_changeLog.revision(), wait, wait + ResponseTimeout, fiber);
     if (!changes)
         return false;
     applyChanges(changes->items, changes->revision);
-    const Instant confirmedAt = confirmedAtOf(changes->items, start, m_pollDuration);
+    const Instant confirmedAt = confirmedAtOf(changes->items, start, wait);
     confirmTable(confirmedAt);
     recordSuccess(confirmedAt);
     if (const Instant elapsed = now() - start; elapsed < MinPollInterval)
--- a/src/policy/feedselector.cpp
+++ b/src/policy/feedselector.cpp
@@ -4,6 +4,15 @@
 
 namespace chestnutsill {
 
+milliseconds storePollDuration(Instant confirmationAge, milliseconds longest) noexcept
+{
+    /// Time for the response to reach the instance and for its followers to fetch it.
+    constexpr milliseconds Margin{700};
+    constexpr milliseconds Shortest{200};
+    const auto age = std::chrono::ceil<milliseconds>(confirmationAge);
+    return std::clamp(MaxFeedAge - Margin - age, std::min(Shortest, longest), longest);
+}
+
 bool FeedSelector::isUsable(const std::string &address, Instant now) const
 {
     const auto known = m_peers.find(address);
--- a/tests/policy/feedselectortest.cpp
+++ b/tests/policy/feedselectortest.cpp
@@ -156,6 +156,23 @@
     CHECK(calls <= 6 * (FirstCalls + Outage / (FeedSelector::MaxStoreRetryDelay / 2)));
 }
 
+TEST_CASE("feed: polls that return changes late don't let the confirmation of a hub become stale")
+{
+    constexpr milliseconds Longest{1500};
+    // Each poll returns a change just before its end, and so confirms its start only.
+    Instant confirmedAt = Start;
+    Instant time = Start;
+    for (int i = 0; i < 20; ++i) {
+        const milliseconds wait = storePollDuration(time - confirmedAt, Longest);
+        CHECK(wait <= Longest);
+        CHECK(time + wait - confirmedAt < MaxFeedAge);
+        confirmedAt = time;
+        time += wait;
+    }
+    CHECK(storePollDuration(Instant{}, Longest) == Longest);
+    CHECK(storePollDuration(std::chrono::hours(1), Longest) > milliseconds(0));
+}
+
 TEST_CASE("feed: without peers the store is queried even right after a failure")
 {
     FeedSelector selector;
