Instances that start take all items from a peer instead of the store

Cause: a process read all pages from the store at each start, and each thought itself a hub until it knew others that serve, so that 195 starts were 195 readers at once, again after a loss of power and after the store dropped its history; one that started in an outage had nothing until the store was back.

While no instance of a zone serves, its instances agree on a hub by rank, and an instance that does not serve is no hub where others are.

Tests: order of sources at a start, hub by rank, change log, a poll that waits for a peer's first read; 13 processes in an outage of the store: calls counted, one of them restarted serves by its peers and knows no upstream that has left.

--- a/include/chestnutsill/peer/feed.h
+++ b/include/chestnutsill/peer/feed.h
@@ -21,6 +21,9 @@
     std::optional<milliseconds> confirmedAge;
     /// Remaining time for which it delays the removal of entries that lapsed during an outage of the store.
     milliseconds removalsDelayedFor{};
+    /// Whether `items` are all items at `revision` instead of changes: the follower has none yet, or the
+    /// changes since its revision are no longer kept.
+    bool isSnapshot = false;
 };
 
 /// Encodes a response as a packed Cap'n Proto message.
--- a/include/chestnutsill/policy/changelog.h
+++ b/include/chestnutsill/policy/changelog.h
@@ -3,6 +3,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,8 +21,8 @@
     bool deleted = false;
 };
 
-/// The latest changes of the store that this instance has read, for peers that follow the store through its
-/// feed. When the log is full, the oldest change is discarded. Not thread-safe.
+/// The items of the store as this instance has read them and their latest changes, for peers that follow the
+/// store through its feed. When the log of changes is full, the oldest one is discarded. Not thread-safe.
 class ChangeLog
 {
 public:
@@ -28,8 +30,8 @@
     /// polls many times.
     static constexpr std::size_t MaxChanges = 2048;
 
-    /// Clears the log after a full read of the store at this revision.
-    void restart(std::uint64_t revision);
+    /// Replaces all items by those of a full read of the store at this revision, and clears the log.
+    void restart(std::vector<PublishedItem> items, std::uint64_t revision);
 
     /// Appends a change. Changes must be added in the order of their revisions.
     void add(PublishedItem item);
@@ -40,6 +42,9 @@
     /// Changes after a revision, or nothing if some of them have been discarded.
     [[nodiscard]] std::optional<std::vector<PublishedItem>> since(std::uint64_t after) const;
 
+    /// All items that exist at `revision()`.
+    [[nodiscard]] std::vector<PublishedItem> snapshot() const;
+
     /// Revision up to which the store has been read.
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
 
@@ -48,6 +53,7 @@
     std::uint64_t m_discardedUpTo = 0;
     std::uint64_t m_revision = 0;
     std::deque<PublishedItem> m_changes;
+    std::map<std::string, PublishedItem, std::less<>> m_items;
 };
 
 } // namespace chestnutsill
--- a/include/chestnutsill/policy/feedselector.h
+++ b/include/chestnutsill/policy/feedselector.h
@@ -17,10 +17,12 @@
     std::vector<std::string> addresses;
     /// Whether this instance is a hub, which reads the store itself for the instances that follow it.
     bool isHub = false;
+
+    [[nodiscard]] bool empty() const noexcept { return addresses.empty() && !isHub; }
 };
 
-/// A peer whose confirmation is older is not followed. The bound keeps the follower of a stuck peer well within
-/// the time limit for applying a change.
+/// A peer whose confirmation is older is not followed. The bound keeps the follower of a stuck peer well
+/// within the time limit for applying a change.
 inline constexpr milliseconds MaxFeedAge{2500};
 
 /// Duration of the next long poll of the store for an instance with followers, whose last confirmation has
@@ -52,6 +54,8 @@
     /// An instance moves from one stale peer to another only if the latter's confirmation is newer by this:
     /// more than the difference between hubs that lost the store at the same instant.
     static constexpr milliseconds StaleMargin{2000};
+    /// Time after its start for which an instance waits for a snapshot from a peer before it reads the store.
+    static constexpr milliseconds MaxSnapshotWait{1000};
     /// Delay after the first failed call to the store, and its maximum. It doubles with each failure.
     static constexpr milliseconds MinStoreRetryDelay{100};
     static constexpr milliseconds MaxStoreRetryDelay{800};
@@ -59,6 +63,11 @@
     /// The source to read next. The store is the last resort if all peers have failed recently.
     [[nodiscard]] FeedSource select(const FeedCandidates &candidates, Instant now) const;
 
+    /// The source of the first full read of an instance that has started at `startedAt`: a peer's snapshot if
+    /// a fresh one can be had soon, then the store, and a stale snapshot only when the store has failed too.
+    [[nodiscard]] FeedSource selectFirst(const FeedCandidates &candidates, Instant startedAt,
+                                         Instant now) const;
+
     /// Whether there is a peer that has neither failed nor been stale recently.
     [[nodiscard]] bool hasUsablePeer(const FeedCandidates &candidates, Instant now) const;
 
--- a/include/chestnutsill/policy/membership.h
+++ b/include/chestnutsill/policy/membership.h
@@ -127,9 +127,12 @@
         return this->size(now) > 2 * size;
     }
 
+    /// Sets whether this instance accepts callers.
+    void setServing(bool serving) noexcept { m_ownServing = serving; }
+
     /// Name of the hub of an availability zone: among the strongest live instances that accept callers, the
-    /// one that ranks first by rendezvous hash. Empty if the zone has none. In its own zone this instance is
-    /// always a candidate.
+    /// one that ranks first by rendezvous hash. While no instance of the zone accepts callers, because all
+    /// have just started, the others rank likewise. Empty if the zone has no live instance.
     [[nodiscard]] std::string hubOf(std::string_view zone, Instant now) const;
 
     /// Peer addresses for the gossip heartbeat of a round: of all peers in a small cluster, else of `FanOut`
@@ -191,6 +194,7 @@
     std::string m_ownName;
     std::string m_ownZone;
     int m_ownStrength;
+    bool m_ownServing = false;
     std::map<std::string, KnownInstance, std::less<>> m_instances;
     std::unordered_map<std::uint32_t, std::string> m_nameByHash;
     std::set<std::uint32_t> m_unknownInstances;
--- a/src/daemon/peerfeed.cpp
+++ b/src/daemon/peerfeed.cpp
@@ -38,7 +38,8 @@
         static_cast<milliseconds::rep>(queryNumber(target, "wait")), MaxPollDuration.count()));
     auto answer = m_answer(after);
     const bool acceptsStale = queryNumber(target, "stale") != 0;
-    if (answer && answer->items.empty() && (acceptsStale || isFresh(*answer))) {
+    // Without an answer the first full read of this instance is still in progress.
+    if (!answer || (answer->items.empty() && (acceptsStale || isFresh(*answer)))) {
         boost::asio::steady_timer timer(fiber.get_executor(), wait);
         const auto position = m_waiting.insert(m_waiting.end(), &timer);
         boost::system::error_code ignored;
--- a/src/daemon/peerfeed.h
+++ b/src/daemon/peerfeed.h
@@ -25,13 +25,14 @@
 class FeedServer
 {
 public:
-    /// `answer` returns the changes after a revision, or nothing when they are no longer kept.
+    /// `answer` returns the changes after a revision, or a snapshot. It returns nothing until this instance
+    /// has read all items.
     explicit FeedServer(std::function<std::optional<FeedAnswer>(std::uint64_t after)> answer)
         : m_answer(std::move(answer))
     {}
 
-    /// Answers a poll, waiting for changes if there are none yet. A response that is not fresh is sent at once
-    /// unless the follower accepts it. Responds with status 410 when the changes are no longer kept.
+    /// Answers a poll, waiting for changes if there are none yet. A response that is not fresh is sent at
+    /// once unless the follower accepts it. Responds with status 410 when there is still no answer then.
     void serve(Exchange &exchange, const Fiber &fiber);
 
     /// Answers all waiting polls now.
@@ -47,8 +48,8 @@
 {
 public:
     /// Polls the source's peer for changes after a revision; the peer waits for them up to `wait`. Returns
-    /// nothing and sets `lastReason` when the peer does not respond within `timeout` or no longer keeps these
-    /// changes.
+    /// nothing and sets `lastReason` when the peer does not respond within `timeout` or has not read all
+    /// items yet.
     [[nodiscard]] std::optional<FeedAnswer> follow(const FeedSource &source, std::uint64_t after,
                                                    milliseconds wait, milliseconds timeout,
                                                    const Fiber &fiber);
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -184,6 +184,7 @@
         if (!m_state.catalog.applyTable(std::move(table)))
             return;
         m_tableText = text;
+        m_state.membership.setServing(isServing());
         log(LogLevel::Info, "configuration-in-force",
             {{"configVersion", static_cast<std::int64_t>(version)}});
     }
@@ -303,6 +304,7 @@
     void drain(const Fiber &fiber)
     {
         m_state.leaving = true;
+        m_state.membership.setServing(false);
         m_gossip.sendRound();
         const Instant start = now();
         log(LogLevel::Info, "leaving",
--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -5,6 +5,9 @@
 #include "daemon/identity.h"
 #include "platform/published.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace chestnutsill {
 
 namespace {
@@ -22,6 +25,11 @@
 constexpr milliseconds FeedPollDuration{700};
 constexpr milliseconds FeedResponseTimeout{300};
 
+/// Time after the start in which the seeds of a running cluster have told this instance of their peers, and
+/// the interval at which it checks for that.
+constexpr milliseconds PeerDiscoveryTime{150};
+constexpr milliseconds PeerDiscoveryInterval{10};
+
 /// Returns the latest instant whose state a long poll has reported. A poll without changes was answered after
 /// the full `wait` and confirms that instant; one with changes may have been answered at any time since
 /// `start`.
@@ -51,22 +59,38 @@
     return m_selector.storeRetryDelay(std::uniform_real_distribution<double>()(m_random));
 }
 
+void StoreWatcher::waitForPeers(const Fiber &fiber) const
+{
+    while (m_handlers.feedCandidates().empty() && now() - m_startedAt < PeerDiscoveryTime)
+        sleepFor(PeerDiscoveryInterval, fiber);
+}
+
 void StoreWatcher::run(const Fiber &fiber)
 {
+    m_startedAt = now();
+    waitForPeers(fiber);
     for (;;) {
-        const FeedCandidates candidates = m_fullReadDone ? m_handlers.feedCandidates() : FeedCandidates{};
-        m_source = m_selector.select(candidates, now());
+        const FeedCandidates candidates = m_handlers.feedCandidates();
+        m_source = m_fullReadDone ? m_selector.select(candidates, now())
+                                  : m_selector.selectFirst(candidates, m_startedAt, now());
         if (!m_source.peer.empty()) {
             followPeer(m_source, fiber);
             continue;
         }
         if (m_fullReadDone ? followStore(fiber) : readAll(fiber)) {
             m_selector.recordStoreAnswer();
+            continue;
+        }
+        if (m_storeClient.lastFailure() == platform::StoreFailure::HistoryGone) {
+            m_selector.recordStoreAnswer();
+            m_fullReadDone = false;
+            log(LogLevel::Info, "store-history-gone",
+                {{"revision", static_cast<std::int64_t>(m_changeLog.revision())}});
         } else {
             m_selector.recordStoreFailure(now());
             recordFailure(m_selector.hasUsablePeer(candidates, now()));
-            sleepFor(retryPause(), fiber);
         }
+        sleepFor(retryPause(), fiber);
     }
 }
 
@@ -84,11 +108,14 @@
 
 std::optional<FeedAnswer> StoreWatcher::feedAnswer(std::uint64_t after) const
 {
-    auto changes = m_fullReadDone ? m_changeLog.since(after) : std::nullopt;
-    if (!changes)
+    if (!m_fullReadDone)
         return std::nullopt;
+    auto changes = after == 0 ? std::nullopt : m_changeLog.since(after);
     const Instant time = now();
-    FeedAnswer answer{std::move(*changes), m_changeLog.revision(), std::nullopt, {}};
+    FeedAnswer answer;
+    answer.isSnapshot = !changes;
+    answer.items = changes ? std::move(*changes) : m_changeLog.snapshot();
+    answer.revision = m_changeLog.revision();
     // Other peers may have confirmed the table more recently, but followers receive data only as recent as
     // this instance's own last read.
     if (m_confirmedAt != Instant{})
@@ -101,8 +128,8 @@
 void StoreWatcher::followPeer(const FeedSource &source, const Fiber &fiber)
 {
     const Instant start = now();
-    const auto answer = m_feedClient.follow(source, m_changeLog.revision(), FeedPollDuration,
-                                            FeedPollDuration + FeedResponseTimeout, fiber);
+    auto answer = m_feedClient.follow(source, revision(), FeedPollDuration,
+                                      FeedPollDuration + FeedResponseTimeout, fiber);
     const bool fresh = answer && isFresh(*answer);
     if (!fresh && !(answer && source.acceptsStale)) {
         log(LogLevel::Info, "peer-feed-left",
@@ -111,7 +138,8 @@
              {"confirmedAgeMs", static_cast<std::int64_t>(
                                     answer && answer->confirmedAge ? answer->confirmedAge->count() : -1)}});
     }
-    if (!answer) {
+    // Changes alone are of no use without the items that they change.
+    if (!answer || (!m_fullReadDone && !answer->isSnapshot)) {
         m_selector.recordPeerFailure(source.peer, now());
         return;
     }
@@ -122,8 +150,11 @@
         confirmedAt = confirmedAtOf(answer->items, start, FeedPollDuration) - *answer->confirmedAge;
         m_confirmedAt = std::max(m_confirmedAt, *confirmedAt);
     }
-    applyChanges(answer->items, answer->revision);
-    if (confirmedAt)
+    if (!answer->isSnapshot)
+        applyChanges(answer->items, answer->revision);
+    else if (fresh || source.acceptsStale)
+        applySnapshot(std::move(answer->items), answer->revision);
+    if (confirmedAt && m_fullReadDone)
         confirmTable(*confirmedAt);
     if (fresh) {
         m_selector.recordFreshPeer(source.peer);
@@ -135,6 +166,25 @@
         recordOutage("the newest confirmation of any peer is too old");
 }
 
+void StoreWatcher::applySnapshot(std::vector<PublishedItem> items, std::uint64_t revision)
+{
+    const Instant time = now();
+    std::set<std::string> seen;
+    for (const PublishedItem &item : items) {
+        applyItem(item, time);
+        seen.insert(item.key);
+    }
+    removeUnseen(seen, revision, time);
+    log(LogLevel::Info, "all-items-read",
+        {{"source", m_source.peer.empty() ? std::string("store") : m_source.peer},
+         {"items", static_cast<std::int64_t>(items.size())},
+         {"revision", static_cast<std::int64_t>(revision)}});
+    m_changeLog.restart(std::move(items), revision);
+    m_lagDetector.recordOwnRevision(revision);
+    m_fullReadDone = true;
+    m_handlers.onChanges();
+}
+
 void StoreWatcher::applyChanges(const std::vector<PublishedItem> &items, std::uint64_t revision)
 {
     for (const PublishedItem &item : items) {
@@ -167,12 +217,6 @@
 
 void StoreWatcher::recordFailure(bool hasUsablePeer)
 {
-    if (m_storeClient.lastFailure() == platform::StoreFailure::HistoryGone) {
-        m_fullReadDone = false;
-        log(LogLevel::Info, "store-history-gone",
-            {{"revision", static_cast<std::int64_t>(m_changeLog.revision())}});
-        return;
-    }
     if (hasUsablePeer && m_fullReadDone) {
         log(LogLevel::Info, "store-passed-over", {{"reason", m_storeClient.lastReason()}});
         return;
@@ -197,27 +241,22 @@
 bool StoreWatcher::readAll(const Fiber &fiber)
 {
     const Instant start = now();
-    std::set<std::string> seen;
-    std::string after;
+    std::vector<PublishedItem> items;
     std::uint64_t firstRevision = 0;
     for (;;) {
-        const auto page = m_storeClient.readPage(AllItems, after, ResponseTimeout, fiber);
+        const std::string after = items.empty() ? std::string() : items.back().key;
+        auto page = m_storeClient.readPage(AllItems, after, ResponseTimeout, fiber);
         if (!page)
             return false;
         if (after.empty())
             firstRevision = page->revision;
-        for (const PublishedItem &item : page->items) {
-            seen.insert(item.key);
-            applyItem(item, now());
-        }
-        if (!page->hasMore || page->items.empty())
+        const bool isLast = !page->hasMore || page->items.empty();
+        std::move(page->items.begin(), page->items.end(), std::back_inserter(items));
+        if (isLast)
             break;
-        after = page->items.back().key;
     }
-    removeUnseen(seen, firstRevision, now());
     // Pages are not a consistent snapshot, so all changes since the first page are read again.
-    m_changeLog.restart(firstRevision);
-    m_fullReadDone = true;
+    applySnapshot(std::move(items), firstRevision);
     confirmTable(start);
     recordSuccess(start);
     return true;
@@ -259,7 +298,6 @@
 void StoreWatcher::applyItem(const PublishedItem &item, Instant time)
 {
     const platform::ItemKey key = platform::parseItemKey(item.key);
-    ValidationErrors errors;
     switch (key.kind) {
     case platform::ItemKey::Kind::Table:
         if (!item.deleted)
@@ -270,26 +308,31 @@
             log(LogLevel::Info, item.deleted ? "zone-back" : "zone-out", {{"zone", std::string(key.name)}});
         m_state.catalog.setZoneOutOfService(key.name, !item.deleted);
         break;
-    case platform::ItemKey::Kind::Upstream: {
-        auto entry = item.deleted ? std::nullopt : platform::parseUpstreamEntry(key.name, item.value, errors);
-        log(LogLevel::Info, "upstream-entry",
-            {{"upstream", std::string(key.name)},
-             {"state", item.deleted     ? "gone"
-                       : !entry         ? "unreadable"
-                       : entry->leaving ? "leaving"
-                                        : "live"},
-             {"coldMs", static_cast<std::int64_t>(entry ? entry->coldRemaining.count() : 0)},
-             {"reason", errorText(errors)},
-             {"revision", static_cast<std::int64_t>(item.revision)}});
-        if (entry)
-            m_state.catalog.updateUpstream(std::move(*entry), item.revision, time);
-        else
-            m_state.catalog.removeUpstream(key.name, item.revision, time);
+    case platform::ItemKey::Kind::Upstream:
+        applyUpstreamEntry(key.name, item, time);
         break;
-    }
     case platform::ItemKey::Kind::Other:
         break;
     }
 }
 
+void StoreWatcher::applyUpstreamEntry(std::string_view id, const PublishedItem &item, Instant time)
+{
+    ValidationErrors errors;
+    auto entry = item.deleted ? std::nullopt : platform::parseUpstreamEntry(id, item.value, errors);
+    log(LogLevel::Info, "upstream-entry",
+        {{"upstream", std::string(id)},
+         {"state", item.deleted     ? "gone"
+                   : !entry         ? "unreadable"
+                   : entry->leaving ? "leaving"
+                                    : "live"},
+         {"coldMs", static_cast<std::int64_t>(entry ? entry->coldRemaining.count() : 0)},
+         {"reason", errorText(errors)},
+         {"revision", static_cast<std::int64_t>(item.revision)}});
+    if (entry)
+        m_state.catalog.updateUpstream(std::move(*entry), item.revision, time);
+    else
+        m_state.catalog.removeUpstream(id, item.revision, time);
+}
+
 } // namespace chestnutsill
--- a/src/daemon/storewatcher.h
+++ b/src/daemon/storewatcher.h
@@ -15,8 +15,8 @@
 
 namespace chestnutsill {
 
-/// Keeps the catalog in step with the store: reads all items once, then receives changes by long polls,
-/// either of the store itself or of a peer that relays them.
+/// Keeps the catalog in step with the store: reads all items once, then receives changes by long polls, both
+/// either from the store itself or from a peer that relays them.
 class StoreWatcher
 {
 public:
@@ -52,7 +52,8 @@
     /// has been behind for too long.
     void recordPeerRevision(std::uint64_t revision);
 
-    /// Changes after a revision for a follower; nothing when they are no longer kept.
+    /// Changes after a revision for a follower, or a snapshot if the revision is 0 or changes since it are no
+    /// longer kept. Nothing until this instance has read all items.
     [[nodiscard]] std::optional<FeedAnswer> feedAnswer(std::uint64_t after) const;
 
 private:
@@ -62,7 +63,13 @@
     /// Polls a peer once and records in the selector how it answered.
     void followPeer(const FeedSource &source, const Fiber &fiber);
     void applyChanges(const std::vector<PublishedItem> &items, std::uint64_t revision);
+    /// Replaces the local copy by all items at a revision.
+    void applySnapshot(std::vector<PublishedItem> items, std::uint64_t revision);
     void applyItem(const PublishedItem &item, Instant time);
+    void applyUpstreamEntry(std::string_view id, const PublishedItem &item, Instant time);
+    /// Waits a short time until peers are known, so that this instance can tell whether it has joined a large
+    /// cluster.
+    void waitForPeers(const Fiber &fiber) const;
     /// Removes the upstreams, and the zones out of service, whose keys a full read has not returned.
     void removeUnseen(const std::set<std::string> &seen, std::uint64_t revision, Instant time);
     void confirmTable(Instant at);
@@ -90,6 +97,7 @@
     Instant m_confirmedAt{};
     FeedSelector m_selector;
     FeedSource m_source;
+    Instant m_startedAt{};
     RevisionLagDetector m_lagDetector;
 };
 
--- a/src/peer/feed.capnp
+++ b/src/peer/feed.capnp
@@ -18,4 +18,6 @@
   confirmedAgeMs @2 :Int32;
   # Remaining time for which the removal of entries that lapsed during an outage of the store is delayed.
   lapseMs @3 :UInt32;
+  # Whether the items are all that exist at this revision, not the changes since the follower's revision.
+  snapshot @4 :Bool;
 }
--- a/src/peer/feed.cpp
+++ b/src/peer/feed.cpp
@@ -44,6 +44,7 @@
     root.setConfirmedAgeMs(static_cast<std::int32_t>(age));
     root.setLapseMs(static_cast<std::uint32_t>(
         std::clamp<milliseconds::rep>(answer.removalsDelayedFor.count(), 0, MaxMs)));
+    root.setSnapshot(answer.isSnapshot);
     return impl::toBytes(message);
 }
 
@@ -57,6 +58,7 @@
         if (root.getConfirmedAgeMs() >= 0)
             answer.confirmedAge = milliseconds(root.getConfirmedAgeMs());
         answer.removalsDelayedFor = milliseconds(root.getLapseMs());
+        answer.isSnapshot = root.getSnapshot();
     };
     if (!impl::readBytes<wire::FeedAnswer>(bytes, {MaxWords, MaxNesting}, read))
         return std::nullopt;
--- a/src/peer/impl/feed.capnp.h
+++ b/src/peer/impl/feed.capnp.h
@@ -48,7 +48,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c834814cac6e4fb2, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c834814cac6e4fb2, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -184,6 +184,8 @@
 
   inline  ::uint32_t getLapseMs() const;
 
+  inline bool getSnapshot() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -228,6 +230,9 @@
   inline  ::uint32_t getLapseMs();
   inline void setLapseMs( ::uint32_t value);
 
+  inline bool getSnapshot();
+  inline void setSnapshot(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -428,6 +433,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FeedAnswer::Reader::getSnapshot() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool FeedAnswer::Builder::getSnapshot() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void FeedAnswer::Builder::setSnapshot(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/policy/changelog.cpp
+++ b/src/policy/changelog.cpp
@@ -4,9 +4,14 @@
 
 namespace chestnutsill {
 
-void ChangeLog::restart(std::uint64_t revision)
+void ChangeLog::restart(std::vector<PublishedItem> items, std::uint64_t revision)
 {
     m_changes.clear();
+    m_items.clear();
+    for (PublishedItem &item : items) {
+        std::string key = item.key;
+        m_items.insert_or_assign(std::move(key), std::move(item));
+    }
     m_discardedUpTo = revision;
     m_revision = revision;
 }
@@ -14,6 +19,10 @@
 void ChangeLog::add(PublishedItem item)
 {
     m_revision = std::max(m_revision, item.revision);
+    if (item.deleted)
+        m_items.erase(item.key);
+    else
+        m_items.insert_or_assign(item.key, item);
     m_changes.push_back(std::move(item));
     if (m_changes.size() <= MaxChanges)
         return;
@@ -26,6 +35,15 @@
     m_revision = std::max(m_revision, revision);
 }
 
+std::vector<PublishedItem> ChangeLog::snapshot() const
+{
+    std::vector<PublishedItem> items;
+    items.reserve(m_items.size());
+    for (const auto &[key, item] : m_items)
+        items.push_back(item);
+    return items;
+}
+
 std::optional<std::vector<PublishedItem>> ChangeLog::since(std::uint64_t after) const
 {
     if (after < m_discardedUpTo)
--- a/src/policy/feedselector.cpp
+++ b/src/policy/feedselector.cpp
@@ -57,6 +57,13 @@
     return {std::move(peer), acceptsStale};
 }
 
+FeedSource FeedSelector::selectFirst(const FeedCandidates &candidates, Instant startedAt, Instant now) const
+{
+    const FeedSource source = select(candidates, now);
+    const bool mayWait = now - startedAt < MaxSnapshotWait && !source.acceptsStale;
+    return mayWait || now < m_storeBackoffUntil ? source : FeedSource{};
+}
+
 bool FeedSelector::hasUsablePeer(const FeedCandidates &candidates, Instant now) const
 {
     return !firstUsablePeer(candidates, now).empty();
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -3,6 +3,7 @@
 #include "chestnutsill/policy/hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace chestnutsill {
 
@@ -113,19 +114,19 @@
 std::map<std::string, std::string, std::less<>> Membership::hubs(Instant now) const
 {
     std::map<std::string, std::string, std::less<>> hubs;
-    std::map<std::string, std::pair<int, std::uint64_t>, std::less<>> ranks;
-    const auto consider = [&](const std::string &zone, const std::string &name, int strength) {
-        const std::pair rank(strength, stableHash(name, stableHash(zone)));
+    std::map<std::string, std::tuple<bool, int, std::uint64_t>, std::less<>> ranks;
+    const auto consider = [&](const std::string &zone, const std::string &name, bool serving, int strength) {
+        const std::tuple rank(serving, strength, stableHash(name, stableHash(zone)));
         const auto [best, isFirst] = ranks.try_emplace(zone, rank);
         if (!isFirst && rank <= best->second)
             return;
         best->second = rank;
         hubs[zone] = name;
     };
-    consider(m_ownZone, m_ownName, m_ownStrength);
+    consider(m_ownZone, m_ownName, m_ownServing, m_ownStrength);
     for (const auto &[name, known] : m_instances) {
-        if (known.status.serving && isAlive(known, now) && now >= known.hubBackoffUntil)
-            consider(known.status.zone, name, known.status.strength);
+        if (isAlive(known, now) && now >= known.hubBackoffUntil)
+            consider(known.status.zone, name, known.status.serving, known.status.strength);
     }
     return hubs;
 }
--- a/tests/daemon/peerfeedtest.cpp
+++ b/tests/daemon/peerfeedtest.cpp
@@ -20,7 +20,7 @@
     int reads = 0;
     FeedServer feed([&](std::uint64_t after) {
         ++reads;
-        return std::optional(FeedAnswer{{}, after, confirmedAge, {}});
+        return std::optional(FeedAnswer{{}, after, confirmedAge, {}, false});
     });
     HttpServer server(io, Address, HttpLimits{},
                       [&](Exchange &exchange, const Fiber &fiber) { feed.serve(exchange, fiber); });
@@ -47,3 +47,29 @@
     CHECK(readsForOnePoll(MaxFeedAge + milliseconds(1)) == 1);
     CHECK(readsForOnePoll(MaxFeedAge + milliseconds(1), true) == 2);
 }
+
+TEST_CASE("peer feed: a poll of a peer that has not read all items yet waits for its snapshot")
+{
+    boost::asio::io_context io;
+    std::optional<FeedAnswer> available;
+    FeedServer feed([&](std::uint64_t) { return available; });
+    HttpServer server(io, Address, HttpLimits{},
+                      [&](Exchange &exchange, const Fiber &fiber) { feed.serve(exchange, fiber); });
+    std::optional<FeedAnswer> answer;
+    startFiber(io, [&](const Fiber &fiber) {
+        FeedClient client;
+        answer = client.follow({Address}, 0, milliseconds(4000), milliseconds(5000), fiber);
+        io.stop();
+    });
+    startFiber(io, [&](const Fiber &fiber) {
+        sleepFor(milliseconds(20), fiber);
+        available = FeedAnswer{{{"key", std::string("v\0lue", 5), 7, false}}, 9, milliseconds(10), {}, true};
+        feed.wake();
+    });
+    io.run();
+    REQUIRE(answer);
+    CHECK(answer->isSnapshot);
+    CHECK(answer->revision == 9);
+    REQUIRE(answer->items.size() == 1);
+    CHECK(answer->items[0].value == std::string("v\0lue", 5));
+}
--- a/tests/entry/faulttest.cpp
+++ b/tests/entry/faulttest.cpp
@@ -240,6 +240,48 @@
     CHECK(site.instances()[0].process->waitForExit(10) == 0);
 }
 
+TEST_CASE("fault: a large cluster calls a store that is away only from its hub, and an instance that starts "
+          "meanwhile serves by a peer's snapshot")
+{
+    // More instances than `Membership::MaxDirectPeers`, so that they follow the feed of a hub.
+    constexpr std::size_t Count = 13;
+    Site site("outage");
+    site.addUpstream("desk-1", "desk");
+    const auto &left = site.addUpstream("desk-2", "desk");
+    site.start(static_cast<int>(Count));
+    REQUIRE(site.waitReady());
+    site.publishUpstream(left, "");
+    const auto knowsUpstreams = [&](std::size_t instance, std::size_t count) {
+        const boost::json::object state = site.state(instance);
+        return state.contains("upstreams") && state.at("upstreams").as_array().size() == count;
+    };
+    for (std::size_t i = 0; i < Count; ++i)
+        REQUIRE(waitUntil([&] { return knowsUpstreams(i, 1); }));
+    site.commandStore(R"({"mode":"refuse"})");
+    const auto before = site.storeCalls();
+    // Longer than the age at which a feed is stale, so that no instance follows a fresh one.
+    constexpr double StaleMs = 5000;
+    for (std::size_t i = 0; i < Count; ++i)
+        REQUIRE(waitUntil([&] { return site.state(i).at("configAgeMs").as_double() > StaleMs; }));
+    // One hub calls it with a delay that grows to at least 400 ms. All instances together, each with a delay
+    // of at most 250 ms, would call it more than a hundred times in the time after the feeds became stale.
+    CHECK(site.storeCalls() - before <= 40);
+    site.instances()[Count - 1].process->kill();
+    site.startInstance(Count - 1);
+    SiteCall open = callTo("/open/x", "");
+    open.key.clear();
+    CHECK(waitUntil([&] {
+        const auto answer = site.call(Count - 1, open);
+        return answer && answer->head.status == 200;
+    }));
+    CHECK(knowsUpstreams(Count - 1, 1));
+    // The snapshot's confirmation is as old as that of the peer, so keys are refused.
+    CHECK(site.call(Count - 1, callTo("/plain/x", ""))->head.status == 503);
+    site.commandStore(R"({"mode":"pass"})");
+    for (std::size_t i = 0; i < Count; ++i)
+        CHECK(waitUntil([&] { return site.call(i, callTo("/plain/x", ""))->head.status == 200; }));
+}
+
 TEST_CASE("fault: settings are reloaded on SIGHUP and when the file changes")
 {
     Site site("settings");
--- a/tests/policy/feedselectortest.cpp
+++ b/tests/policy/feedselectortest.cpp
@@ -1,4 +1,5 @@
 #include "chestnutsill/policy/feedselector.h"
+#include "chestnutsill/policy/changelog.h"
 #include "chestnutsill/policy/membership.h"
 
 #include <doctest/doctest.h>
@@ -17,6 +18,7 @@
 Membership membershipOf(const std::string &name, const std::string &zone)
 {
     Membership membership(name, zone);
+    membership.setServing(true);
     for (int i = 0; i < 20; ++i) {
         const std::string other = "i" + std::to_string(i);
         membership.mergeStatus(
@@ -173,6 +175,40 @@
     CHECK(storePollDuration(std::chrono::hours(1), Longest) > milliseconds(0));
 }
 
+TEST_CASE("feed: an instance that starts takes a fresh snapshot, then the store, then a stale snapshot")
+{
+    FeedSelector selector;
+    const FeedCandidates candidates{{"hub", "b"}, false};
+    CHECK(selector.selectFirst(candidates, Start, Start).peer == "hub");
+    // A peer without a snapshot doesn't hold up the start for long.
+    CHECK(selector.selectFirst(candidates, Start, Start + FeedSelector::MaxSnapshotWait) == FeedSource{});
+    selector.recordStalePeer("hub", Start - milliseconds(9000), Start);
+    selector.recordStalePeer("b", Start - milliseconds(9000), Start);
+    CHECK(selector.selectFirst(candidates, Start, Start) == FeedSource{});
+    selector.recordStoreFailure(Start);
+    CHECK(selector.selectFirst(candidates, Start, Start) == FeedSource{"hub", true});
+    CHECK(selector.selectFirst({{"hub", "b"}, true}, Start, Start) == FeedSource{});
+}
+
+TEST_CASE("change log: a snapshot holds each item as last written, and no deleted ones")
+{
+    ChangeLog changes;
+    changes.restart({{"a", "1", 3, false}, {"b", "1", 4, false}}, 5);
+    changes.add({"a", "2", 6, false});
+    changes.add({"c", "1", 7, false});
+    changes.add({"b", "", 8, true});
+    const auto items = changes.snapshot();
+    REQUIRE(items.size() == 2);
+    CHECK(items[0].key == "a");
+    CHECK(items[0].value == "2");
+    CHECK(items[1].key == "c");
+    CHECK(changes.revision() == 8);
+    CHECK_FALSE(changes.since(4));
+    CHECK(changes.since(5)->size() == 3);
+    changes.restart({}, 9);
+    CHECK(changes.snapshot().empty());
+}
+
 TEST_CASE("feed: without peers the store is queried even right after a failure")
 {
     FeedSelector selector;
--- a/tests/policy/membershiptest.cpp
+++ b/tests/policy/membershiptest.cpp
@@ -25,10 +25,11 @@
 public:
     explicit MembershipModel(int size)
     {
-        for (int i = 0; i < size; ++i)
-            m_memberships.emplace_back(
-                "i" + std::to_string(i),
-                Membership("i" + std::to_string(i), status("i" + std::to_string(i)).zone));
+        for (int i = 0; i < size; ++i) {
+            const std::string name = "i" + std::to_string(i);
+            m_memberships.emplace_back(name, Membership(name, status(name).zone));
+            m_memberships.back().second.setServing(true);
+        }
     }
 
     void round(Instant now, const std::set<std::string> &dead = {})
@@ -153,6 +154,8 @@
 {
     Membership one("one", "a");
     Membership two("two", "a");
+    one.setServing(true);
+    two.setServing(true);
     one.mergeStatus({"two", 1, "a", "", "two", true, milliseconds(0)}, seconds(10));
     two.mergeStatus({"one", 1, "a", "", "one", true, milliseconds(0)}, seconds(10));
     const std::string hub = one.hubOf("a", seconds(10));
@@ -173,10 +176,26 @@
                          seconds(10));
     CHECK(weak.hubOf("a", seconds(10)) == "i5");
     Membership strong("strong", "a", 6);
+    strong.setServing(true);
     strong.mergeStatus({"i5", 1, "a", "", "", true, milliseconds(0), 4}, seconds(10));
     CHECK(strong.hubOf("a", seconds(10)) == "strong");
 }
 
+TEST_CASE("membership: an instance that does not serve yet is hub only while no other of its zone serves")
+{
+    Membership own("own", "a", 9);
+    own.mergeStatus({"peer", 1, "a", "", "peer:2", false, milliseconds(0), 1}, seconds(10));
+    CHECK(own.hubOf("a", seconds(10)) == "own");
+    own.mergeStatus({"peer", 1, "a", "", "peer:2", true, milliseconds(0), 1}, seconds(11));
+    CHECK(own.hubOf("a", seconds(11)) == "peer");
+    own.setServing(true);
+    CHECK(own.hubOf("a", seconds(11)) == "own");
+    // No instance of this zone serves: they agree on one, so that the others follow it.
+    own.mergeStatus({"weak", 1, "b", "", "weak:2", false, milliseconds(0), 1}, seconds(11));
+    own.mergeStatus({"strong", 1, "b", "", "strong:2", false, milliseconds(0), 2}, seconds(11));
+    CHECK(own.hubOf("b", seconds(11)) == "strong");
+}
+
 TEST_CASE("membership: a directory answer lists serving instances, the strongest if there are too many")
 {
     std::vector<InstanceStatus> instances;
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -167,6 +167,11 @@
     (void)support::call(m_storeAddress, "POST", "/control", command);
 }
 
+std::int64_t Site::storeCalls() const
+{
+    return readObject(m_storeAddress, "/stats").at("calls").as_int64();
+}
+
 void Site::commandUpstream(const Upstream &upstream, const std::string &command)
 {
     (void)support::call(upstream.address, "POST", "/control", command);
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -86,6 +86,8 @@
 
     /// Sends a control command to the store or to an upstream.
     void commandStore(const std::string &command) const;
+    /// Number of calls that the store has received from the instances.
+    [[nodiscard]] std::int64_t storeCalls() const;
     static void commandUpstream(const Upstream &upstream, const std::string &command);
 
     /// `start` starts the instances, which accept keys up to this age of the last confirmation of the
