Gossip within the zone; hubs carry liveness between zones

The hubs already pass on the same digests from zone to zone.

Change: the four random peers are of the own zone; once in 2.4 s one of another zone, in case a hub cannot reach that zone.

--- a/include/chestnutsill/policy/membership.h
+++ b/include/chestnutsill/policy/membership.h
@@ -67,8 +67,12 @@
     static constexpr milliseconds HeartbeatPeriod{200};
     /// Maximum number of peers in a small cluster, where each instance sends its heartbeats to all peers.
     static constexpr std::size_t MaxDirectPeers = 10;
-    /// Number of random peers to which each gossip heartbeat is sent in a large cluster.
+    /// Number of random peers of its zone to which an instance sends each gossip heartbeat in a large
+    /// cluster.
     static constexpr std::size_t FanOut = 4;
+    /// In a large cluster the hubs carry liveness between the zones. In one of this many rounds an instance
+    /// also gossips with a random peer of another zone, in case its hub cannot reach that zone.
+    static constexpr std::uint64_t RoundsPerZoneGossip = 12;
     /// In a large cluster an instance gossips once in this many rounds.
     static constexpr std::uint64_t RoundsPerGossip = 3;
     /// An instance is considered dead when neither its status nor its liveness digest has been renewed for
@@ -136,7 +140,7 @@
     [[nodiscard]] std::string hubOf(std::string_view zone, Instant now) const;
 
     /// Peer addresses for the gossip heartbeat of a round: of all peers in a small cluster, else of `FanOut`
-    /// random ones.
+    /// random ones in this zone and, once in `RoundsPerZoneGossip`, of one in another zone.
     [[nodiscard]] std::vector<std::string> gossipTargets(Instant now, std::uint64_t round) const;
 
     /// Receivers of the heartbeats exchanged with hubs in each round of a large cluster: for the hub of a
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -3,6 +3,7 @@
 #include "chestnutsill/policy/hash.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace chestnutsill {
@@ -223,10 +224,24 @@
 std::vector<std::string> Membership::gossipTargets(Instant now, std::uint64_t round) const
 {
     const std::uint64_t seed = stableHash(m_ownName, round + 1);
-    const std::size_t count = isLarge(now) ? FanOut : MaxDirectPeers;
+    std::vector<InstanceStatus> sameZone = alive(now);
+    std::vector<InstanceStatus> otherZones;
+    std::size_t count = MaxDirectPeers;
+    if (isLarge(now)) {
+        const auto other = std::partition(sameZone.begin(), sameZone.end(),
+                                          [&](const auto &instance) { return instance.zone == m_ownZone; });
+        otherZones.assign(std::make_move_iterator(other), std::make_move_iterator(sameZone.end()));
+        sameZone.erase(other, sameZone.end());
+        count = FanOut;
+    }
     std::vector<std::string> addresses;
-    for (InstanceStatus &instance : sample(alive(now), count, seed, nameOf))
+    for (InstanceStatus &instance : sample(std::move(sameZone), count, seed, nameOf))
         addresses.push_back(std::move(instance.peerAddress));
+    // Instances take their turn in different rounds.
+    if ((round + shortHash(m_ownName) * RoundsPerGossip) % RoundsPerZoneGossip == 0) {
+        for (InstanceStatus &instance : sample(std::move(otherZones), 1, seed, nameOf))
+            addresses.push_back(std::move(instance.peerAddress));
+    }
     return addresses;
 }
 
--- a/tests/policy/membershiptest.cpp
+++ b/tests/policy/membershiptest.cpp
@@ -196,6 +196,29 @@
     CHECK(own.hubOf("b", seconds(11)) == "strong");
 }
 
+TEST_CASE("membership: in a large cluster an instance rarely gossips with other zones")
+{
+    Membership own("own", "z0");
+    std::set<std::string> sameZone;
+    for (int i = 0; i < 60; ++i) {
+        const InstanceStatus peer = status("i" + std::to_string(i));
+        own.mergeStatus(peer, seconds(10));
+        if (peer.zone == "z0")
+            sameZone.insert(peer.peerAddress);
+    }
+    std::size_t toOtherZones = 0;
+    for (std::uint64_t round = 0; round < Membership::RoundsPerZoneGossip;
+         round += Membership::RoundsPerGossip) {
+        const auto targets = own.gossipTargets(seconds(10), round);
+        const auto inZone = static_cast<std::size_t>(
+            std::count_if(targets.begin(), targets.end(),
+                          [&](const std::string &target) { return sameZone.contains(target); }));
+        CHECK(inZone == Membership::FanOut);
+        toOtherZones += targets.size() - inZone;
+    }
+    CHECK(toOtherZones == 1);
+}
+
 TEST_CASE("membership: a directory answer lists serving instances, the strongest if there are too many")
 {
     std::vector<InstanceStatus> instances;
