Bound what an upstream can send without end, and don't pass on a stream cut in the middle of an event

Interim responses share one timeout, the pieces of a body read by `HttpClient::call` have a total one, and an event may have at most 1 MiB. A retry that is refused because of suspected crashes no longer says that the request has not run when it may have.

--- a/include/chestnutsill/net/http.h
+++ b/include/chestnutsill/net/http.h
@@ -56,6 +56,9 @@
     std::optional<std::uint64_t> length;
     /// Whether the connection can be reused after the body.
     bool keepAlive = false;
+    /// Whether the end of the connection marks the end of the body, so that a body that was cut short looks
+    /// like a complete one.
+    bool endsWithConnection = false;
 
     /// Value of the first header field with this name, compared without regard to case; empty if there is
     /// none.
--- a/include/chestnutsill/net/httpclient.h
+++ b/include/chestnutsill/net/httpclient.h
@@ -50,7 +50,8 @@
     /// being sent, and nothing has arrived since the last response.
     [[nodiscard]] bool isIdle();
 
-    /// Reads the head of the response. Interim responses (1xx) are skipped.
+    /// Reads the head of the response. Interim responses (1xx) are skipped; `timeout` applies to all
+    /// together.
     [[nodiscard]] std::optional<HttpHead> readHead(std::chrono::milliseconds timeout, const Fiber &fiber);
 
     /// Reads a piece of the body of at most 16 KiB; an empty piece marks its end. Fails if the body is cut
@@ -58,7 +59,8 @@
     [[nodiscard]] std::optional<std::string> readPiece(std::chrono::milliseconds timeout, const Fiber &fiber);
 
     /// Sends a request and reads its complete response. Fails if the body is larger than `maxBody` bytes.
-    /// `timeout` applies separately to sending, to the head and to each piece of the body.
+    /// `timeout` applies separately to sending, to the head and to each piece of the body; all pieces
+    /// together may take four times as long.
     [[nodiscard]] std::optional<HttpResponse> call(const HttpCall &call, std::size_t maxBody,
                                                    std::chrono::milliseconds timeout, const Fiber &fiber);
 
@@ -81,7 +83,7 @@
 };
 
 /// Sends one request on a new connection and reads the response, with a body of at most 4 MiB. `timeout`
-/// applies separately to connecting, to sending, to the head and to each piece of the body. Returns nothing
+/// applies separately to connecting and as in `HttpClient::call`. Returns nothing
 /// on failure and sets `reason`.
 [[nodiscard]] std::optional<HttpResponse> fetch(std::string_view address, const HttpCall &call,
                                                 std::chrono::milliseconds timeout, const Fiber &fiber,
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "chestnutsill/net/httpclient.h"
 
+#include "chestnutsill/clock.h"
 #include "impl/beast.h"
 
 #include <netinet/tcp.h>
@@ -17,9 +18,12 @@
 struct HttpClient::Impl
 {
     static constexpr std::size_t MaxPieceBytes = 16'384;
+    /// Maximum number of bytes that are read ahead of the parser. It bounds what a server can make this
+    /// instance hold with parts of a response that have no end, such as a chunk extension.
+    static constexpr std::size_t MaxBufferedBytes = 65'536;
 
     std::optional<beast::tcp_stream> stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxBufferedBytes};
     std::string host;
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, MaxPieceBytes> piece{};
@@ -151,10 +155,11 @@
 {
     constexpr unsigned FirstFinalStatus = 200;
     boost::system::error_code error;
+    // One timeout for all heads, since a server may send interim responses without end.
+    m_impl->stream->expires_after(timeout);
     do {
         auto &parser = m_impl->parser.emplace();
         parser.body_limit(boost::none);
-        m_impl->stream->expires_after(timeout);
         http::async_read_header(*m_impl->stream, m_impl->buffer, parser, fiber[error]);
         if (!m_impl->checkResult("read response head", error))
             return std::nullopt;
@@ -166,6 +171,7 @@
     head.keepAlive = parser.keep_alive();
     if (const auto length = parser.content_length())
         head.length = *length;
+    head.endsWithConnection = parser.need_eof();
     return head;
 }
 
@@ -173,12 +179,12 @@
 {
     auto &parser = *m_impl->parser;
     std::string piece;
+    m_impl->stream->expires_after(timeout);
     while (piece.empty() && !parser.is_done()) {
         parser.get().body().data = m_impl->piece.data();
         parser.get().body().size = m_impl->piece.size();
         parser.get().body().more = true;
         boost::system::error_code error;
-        m_impl->stream->expires_after(timeout);
         http::async_read_some(*m_impl->stream, m_impl->buffer, parser, fiber[error]);
         if (error == http::error::need_buffer)
             error = {};
@@ -192,14 +198,21 @@
 std::optional<HttpResponse> HttpClient::call(const HttpCall &call, std::size_t maxBody, milliseconds timeout,
                                              const Fiber &fiber)
 {
+    /// A body may take this many times as long as the timeout of one operation.
+    constexpr int MaxBodyTimeouts = 4;
     if (!send(call, timeout, fiber))
         return std::nullopt;
     auto head = readHead(timeout, fiber);
     if (!head)
         return std::nullopt;
     HttpResponse response{std::move(*head), {}};
+    const Instant bodyDeadline = now() + MaxBodyTimeouts * timeout;
     for (;;) {
         const auto piece = readPiece(timeout, fiber);
+        if (now() >= bodyDeadline) {
+            m_impl->reason = "the response body took too long";
+            return std::nullopt;
+        }
         if (!piece)
             return std::nullopt;
         if (piece->empty())
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -37,6 +37,8 @@
 namespace {
 
 constexpr std::size_t ReadSize = 16'384;
+/// Maximum number of bytes that are read ahead of the parser, besides the head of a request.
+constexpr std::size_t MaxReadAheadBytes = 65'536;
 /// Maximum time for which the input of a rejected request is read and discarded.
 constexpr std::chrono::milliseconds DiscardTime{2000};
 
@@ -311,7 +313,8 @@
 template<typename State>
 void serve(State &state, beast::tcp_stream &stream, const Fiber &fiber)
 {
-    beast::flat_buffer buffer;
+    // Bounds what a caller can make this instance hold with parts of a request that have no end.
+    beast::flat_buffer buffer(state.limits().maxHead + MaxReadAheadBytes);
     boost::system::error_code ignored;
     stream.socket().set_option(Tcp::no_delay(true), ignored);
     for (;;) {
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -15,6 +15,10 @@
 /// Responses up to this size are buffered, so that another upstream can be tried after a failure; larger ones
 /// are forwarded as they arrive.
 constexpr std::size_t MaxBufferedResponseBytes = 1 << 20;
+/// Maximum size of an incomplete event of a stream.
+constexpr std::size_t MaxPendingEventBytes = 1 << 20;
+/// Maximum size of the body of a response that is not forwarded, read to keep its connection.
+constexpr std::size_t MaxDiscardedBytes = 65'536;
 /// Number of responses to other requests that are skipped on one connection.
 constexpr int MaxStrayResponses = 3;
 /// How long a connection opened by a probe is kept for a request.
@@ -33,6 +37,37 @@
     return std::max(std::chrono::duration_cast<milliseconds>(context.deadline - now()), milliseconds(1));
 }
 
+/// Reads a piece of the response body. Fails at the deadline of the request, also while bytes keep arriving.
+std::optional<std::string> readPiece(const RequestContext &context, UpstreamAttempt &attempt,
+                                     const Fiber &fiber)
+{
+    if (now() >= context.deadline)
+        return std::nullopt;
+    return attempt.client->readPiece(remainingTime(context), fiber);
+}
+
+/// Why reading a response failed.
+std::string readFailureReason(const RequestContext &context, const UpstreamAttempt &attempt)
+{
+    return now() >= context.deadline ? std::string("deadline") : attempt.client->lastReason();
+}
+
+/// Reads the rest of a response that is not forwarded, so that its connection can be reused. Returns false if
+/// it has no end in time or is too large for that.
+bool discardBody(const RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber)
+{
+    std::size_t discarded = 0;
+    while (discarded <= MaxDiscardedBytes) {
+        const auto piece = readPiece(context, attempt, fiber);
+        if (!piece)
+            return false;
+        if (piece->empty())
+            return true;
+        discarded += piece->size();
+    }
+    return false;
+}
+
 void recordFailure(UpstreamAttempt &attempt, AttemptResult result, std::string reason)
 {
     attempt.connectionBroke = result == AttemptResult::Broken && !attempt.client->timedOut();
@@ -104,7 +139,7 @@
                     m_state.prefixCacheIndex.recordPrefill(attempt.upstream, context.request.prompt);
             }
             const HttpHead forwardedHead{head->status, std::move(response.fields), head->length,
-                                         head->keepAlive};
+                                         head->keepAlive, head->endsWithConnection};
             const bool isStream = context.route->kind == RouteKind::Streaming && head->status == StatusOk;
             if (isStream) {
                 relayEventStream(context, attempt, forwardedHead, fiber);
@@ -117,13 +152,10 @@
                 relayResponse(context, attempt, forwardedHead, fiber);
             }
         } else {
-            // Drains the body, so that the connection can be reused.
-            std::optional<std::string> piece;
-            while ((piece = attempt.client->readPiece(remainingTime(context), fiber)) && !piece->empty()) {
-            }
-            if (!piece)
+            const bool hasEnded = discardBody(context, attempt, fiber);
+            if (!hasEnded)
                 response.maxIdleTime.reset();
-            if (response.outcome == UpstreamResponse::Outcome::Stray && piece && head->keepAlive)
+            if (response.outcome == UpstreamResponse::Outcome::Stray && hasEnded && head->keepAlive)
                 continue;
             attempt.result = AttemptResult::Refused;
             attempt.verdict =
@@ -148,9 +180,9 @@
 {
     std::string body;
     for (;;) {
-        auto piece = attempt.client->readPiece(remainingTime(context), fiber);
+        auto piece = readPiece(context, attempt, fiber);
         if (!piece) {
-            recordFailure(attempt, AttemptResult::Broken, attempt.client->lastReason());
+            recordFailure(attempt, AttemptResult::Broken, readFailureReason(context, attempt));
             return;
         }
         if (piece->empty())
@@ -191,13 +223,21 @@
 {
     context.eventSplitter.reset();
     for (;;) {
-        const auto piece = attempt.client->readPiece(remainingTime(context), fiber);
-        if (!piece) {
-            recordFailure(attempt, AttemptResult::Broken, attempt.client->lastReason());
+        const auto piece = readPiece(context, attempt, fiber);
+        const bool isCutShort = piece && piece->empty() && head.endsWithConnection
+                                && !context.eventSplitter.pendingBytes().empty();
+        if (!piece || isCutShort) {
+            recordFailure(attempt, AttemptResult::Broken,
+                          isCutShort ? "the stream ended in the middle of an event"
+                                     : readFailureReason(context, attempt));
             return;
         }
         const std::string events = piece->empty() ? std::string(context.eventSplitter.pendingBytes())
                                                   : context.eventSplitter.push(*piece);
+        if (context.eventSplitter.pendingBytes().size() > MaxPendingEventBytes) {
+            recordFailure(attempt, AttemptResult::Broken, "an event of the stream is too large");
+            return;
+        }
         if (!context.responseStarted && (!events.empty() || piece->empty())) {
             context.responseStarted = true;
             context.status = head.status;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -123,8 +123,12 @@
     context.fingerprint = fingerprintOf(context.account != nullptr ? context.account->name : std::string(),
                                         context.request.target + '\n' + context.request.body);
     for (;;) {
-        if (m_state.crashTracker.strikes(context.fingerprint, now()) >= CrashTracker::MaxStrikes)
+        if (m_state.crashTracker.strikes(context.fingerprint, now()) >= CrashTracker::MaxStrikes) {
+            if (context.possibleRuns > 0)
+                return refusal(502, Verdict::MayHaveRun, "suspected-crash", "upstream",
+                               "upstreams crashed repeatedly while running this request");
             return refuseNotRun("suspected-crash", "upstreams crashed repeatedly while running this request");
+        }
         UpstreamAttempt attempt;
         if (auto refused = chooseUpstream(context, attempt)) {
             if (context.possibleRuns > 0)
--- a/tests/entry/faulttest.cpp
+++ b/tests/entry/faulttest.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <csignal>
 #include <future>
 
@@ -282,6 +283,37 @@
         CHECK(waitUntil([&] { return site.call(i, callTo("/plain/x", ""))->head.status == 200; }));
 }
 
+TEST_CASE("fault: in a planned stop under load no request runs without an answer to its caller")
+{
+    Site site("stop-under-load");
+    const auto &desk = site.addUpstream("desk-1", "desk");
+    site.start(2);
+    REQUIRE(site.waitReady());
+    Site::commandUpstream(desk, R"({"workMs":40})");
+    constexpr int Callers = 8;
+    std::atomic<bool> exited = false;
+    std::vector<std::future<std::vector<std::string>>> callers;
+    for (int caller = 0; caller < Callers; ++caller) {
+        callers.push_back(std::async(std::launch::async, [&site, &exited, caller] {
+            std::vector<std::string> unanswered;
+            for (int n = 0; !exited; ++n) {
+                const std::string id = "s" + std::to_string(caller) + '-' + std::to_string(n);
+                if (!site.call(0, callTo(n % 2 == 0 ? "/plain/x" : "/booking/x", id)))
+                    unanswered.push_back(id);
+            }
+            return unanswered;
+        }));
+    }
+    REQUIRE(waitUntil([&] { return Site::stat(desk, "started").as_int64() > 100; }));
+    site.instances()[0].process->signal(SIGTERM);
+    CHECK(site.instances()[0].process->waitForExit(10) == 0);
+    exited = true;
+    for (auto &caller : callers) {
+        for (const std::string &id : caller.get())
+            CHECK(site.runsOf(id) == 0);
+    }
+}
+
 TEST_CASE("fault: settings are reloaded on SIGHUP and when the file changes")
 {
     Site site("settings");
