Upstreams that refuse the connection don't use up a request's attempts

Cause: at most four upstreams were tried for a request.

Change: four upstreams may be sent the request; 16 may be tried. The log line of a request tells the expected time to the first token. Test: seven of eight upstreams are dead, the request is served.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -12,9 +12,12 @@
 
 namespace {
 
-/// Maximum number of upstreams tried for one request, even if none of them has run it. `Route::maxAttempts`
-/// also limits the attempts that may have run it.
-constexpr std::size_t MaxTriedUpstreams = 4;
+/// Maximum number of upstreams to which one request is sent, even if none of them has run it.
+/// `Route::maxAttempts` also limits the attempts that may have run it.
+constexpr std::size_t MaxSentAttempts = 4;
+/// Maximum number of upstreams tried for one request, including those that refuse the connection. Many do so
+/// after a crash of a large part of a service.
+constexpr std::size_t MaxTriedUpstreams = 16;
 /// Retry-After time sent with 503 refusals, whose causes usually pass quickly.
 constexpr milliseconds RetryAfterDelay{250};
 /// Timers may fire this much before the deadline for which they were set.
@@ -135,6 +138,8 @@
                 return refusal(502, Verdict::MayHaveRun, "upstream-failed", "upstream", "an upstream failed");
             return refused;
         }
+        if (context.triedUpstreams.empty())
+            context.expectedFirstTokenMs = attempt.expectedFirstTokenMs;
         context.triedUpstreams.push_back(attempt.upstream);
         const bool hasPromptParts = !context.request.prompt.parts.empty();
         m_state.loadTable.recordStart(attempt.upstream, attempt.tokensToPrefill);
@@ -162,7 +167,8 @@
 
 bool Router::mayRetry(RequestContext &context, const UpstreamAttempt &attempt)
 {
-    if (context.callerGone || now() >= context.deadline || context.triedUpstreams.size() >= MaxTriedUpstreams)
+    if (context.callerGone || now() >= context.deadline || context.triedUpstreams.size() >= MaxTriedUpstreams
+        || context.sentAttempts >= MaxSentAttempts)
         return false;
     const bool hasRun = attempt.verdict != Verdict::NotRun;
     if (hasRun && (!isIdempotent(*context.route) || context.possibleRuns >= context.route->maxAttempts))
@@ -216,6 +222,7 @@
          {"reason", answer ? answer->reason : std::string()},
          {"upstream", context.triedUpstreams.empty() ? std::string() : context.triedUpstreams.back()},
          {"attempts", static_cast<std::int64_t>(context.triedUpstreams.size())},
+         {"expectedFirstTokenMs", context.expectedFirstTokenMs},
          {"firstByteMs", std::chrono::duration<double, std::milli>(record.firstToken).count()},
          {"wholeMs", std::chrono::duration<double, std::milli>(record.totalTime).count()},
          {"configVersion", static_cast<std::int64_t>(context.table ? context.table->version : 0)},
--- a/tests/entry/faulttest.cpp
+++ b/tests/entry/faulttest.cpp
@@ -283,6 +283,21 @@
         CHECK(waitUntil([&] { return site.call(i, callTo("/plain/x", ""))->head.status == 200; }));
 }
 
+TEST_CASE("fault: a request is served although most upstreams of its service refuse connections")
+{
+    constexpr int Dead = 7;
+    Site site("refused-connections");
+    for (int i = 0; i <= Dead; ++i)
+        site.addUpstream("desk-" + std::to_string(i), "desk");
+    site.start(1);
+    REQUIRE(site.waitReady());
+    for (int i = 0; i < Dead; ++i)
+        site.upstream("desk-" + std::to_string(i)).process->kill();
+    CHECK(site.call(0, callTo("/plain/x", "r1"))->head.status == 200);
+    CHECK(site.call(0, callTo("/booking/x", "r2"))->head.status == 200);
+    CHECK(site.runsOf("r2") == 1);
+}
+
 TEST_CASE("fault: in a planned stop under load no request runs without an answer to its caller")
 {
     Site site("stop-under-load");
