Small clusters call a store that is away at short delays, and starts wait less for peers

And 150 ms to discover peers delay the return after all were killed.

Change: at most 200 ms between calls in a small cluster; 60 ms for the discovery of peers.

--- a/include/chestnutsill/policy/feedselector.h
+++ b/include/chestnutsill/policy/feedselector.h
@@ -56,9 +56,11 @@
     static constexpr milliseconds StaleMargin{2000};
     /// Time after its start for which an instance waits for a snapshot from a peer before it reads the store.
     static constexpr milliseconds MaxSnapshotWait{1000};
-    /// Delay after the first failed call to the store, and its maximum. It doubles with each failure.
+    /// Delay after the first failed call to the store, and its maximum. It doubles with each failure. In a
+    /// small cluster, where each instance reads the store itself, few calls are made at any delay.
     static constexpr milliseconds MinStoreRetryDelay{100};
     static constexpr milliseconds MaxStoreRetryDelay{800};
+    static constexpr milliseconds MaxSmallClusterRetryDelay{200};
 
     /// The source to read next. The store is the last resort if all peers have failed recently.
     [[nodiscard]] FeedSource select(const FeedCandidates &candidates, Instant now) const;
@@ -89,7 +91,8 @@
 
     /// How long to wait before the next call after a failure of the store: the current backoff delay scaled
     /// by a random factor between 0.5 and 1. `randomFraction` is in the range 0 to 1.
-    [[nodiscard]] milliseconds storeRetryDelay(double randomFraction) const noexcept;
+    [[nodiscard]] milliseconds storeRetryDelay(const FeedCandidates &candidates,
+                                               double randomFraction) const noexcept;
 
 private:
     struct PeerState
--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -27,7 +27,7 @@
 
 /// Time after the start in which the seeds of a running cluster have told this instance of their peers, and
 /// the interval at which it checks for that.
-constexpr milliseconds PeerDiscoveryTime{150};
+constexpr milliseconds PeerDiscoveryTime{60};
 constexpr milliseconds PeerDiscoveryInterval{10};
 
 /// Returns the latest instant whose state a long poll has reported. A poll without changes was answered after
@@ -54,9 +54,9 @@
     , m_random(randomNumber())
 {}
 
-milliseconds StoreWatcher::retryPause()
+milliseconds StoreWatcher::retryPause(const FeedCandidates &candidates)
 {
-    return m_selector.storeRetryDelay(std::uniform_real_distribution<double>()(m_random));
+    return m_selector.storeRetryDelay(candidates, std::uniform_real_distribution<double>()(m_random));
 }
 
 void StoreWatcher::waitForPeers(const Fiber &fiber) const
@@ -90,7 +90,7 @@
             m_selector.recordStoreFailure(now());
             recordFailure(m_selector.hasUsablePeer(candidates, now()));
         }
-        sleepFor(retryPause(), fiber);
+        sleepFor(retryPause(candidates), fiber);
     }
 }
 
--- a/src/daemon/storewatcher.h
+++ b/src/daemon/storewatcher.h
@@ -78,7 +78,7 @@
     /// Records that no source confirms the local copy any more.
     void recordOutage(const std::string &reason);
     void recordSuccess(Instant confirmedAt);
-    [[nodiscard]] milliseconds retryPause();
+    [[nodiscard]] milliseconds retryPause(const FeedCandidates &candidates);
 
     platform::StoreClient m_storeClient;
     FeedClient m_feedClient;
--- a/src/policy/feedselector.cpp
+++ b/src/policy/feedselector.cpp
@@ -98,11 +98,13 @@
     ++m_storeFailures;
 }
 
-milliseconds FeedSelector::storeRetryDelay(double randomFraction) const noexcept
+milliseconds FeedSelector::storeRetryDelay(const FeedCandidates &candidates,
+                                           double randomFraction) const noexcept
 {
     constexpr int MaxDoublings = 3;
     const int doublings = std::clamp(m_storeFailures - 1, 0, MaxDoublings);
-    const auto delay = std::min<milliseconds>(MinStoreRetryDelay * (1 << doublings), MaxStoreRetryDelay);
+    const milliseconds longest = candidates.empty() ? MaxSmallClusterRetryDelay : MaxStoreRetryDelay;
+    const auto delay = std::min<milliseconds>(MinStoreRetryDelay * (1 << doublings), longest);
     const double scale = 0.5 + 0.5 * std::clamp(randomFraction, 0.0, 1.0);
     return milliseconds(static_cast<milliseconds::rep>(static_cast<double>(delay.count()) * scale));
 }
--- a/tests/policy/feedselectortest.cpp
+++ b/tests/policy/feedselectortest.cpp
@@ -83,18 +83,20 @@
 TEST_CASE("feed: calls to a store that does not answer back off up to a limit and start over after an answer")
 {
     FeedSelector selector;
+    const FeedCandidates candidates{{"a"}, true};
     milliseconds last{};
     for (int i = 0; i < 6; ++i) {
         selector.recordStoreFailure(Start);
-        CHECK(selector.storeRetryDelay(0) >= FeedSelector::MinStoreRetryDelay / 2);
-        CHECK(selector.storeRetryDelay(1) >= last);
-        CHECK(selector.storeRetryDelay(1) <= FeedSelector::MaxStoreRetryDelay);
-        last = selector.storeRetryDelay(1);
+        CHECK(selector.storeRetryDelay(candidates, 0) >= FeedSelector::MinStoreRetryDelay / 2);
+        CHECK(selector.storeRetryDelay(candidates, 1) >= last);
+        CHECK(selector.storeRetryDelay(candidates, 1) <= FeedSelector::MaxStoreRetryDelay);
+        last = selector.storeRetryDelay(candidates, 1);
     }
     CHECK(last == FeedSelector::MaxStoreRetryDelay);
+    CHECK(selector.storeRetryDelay({}, 1) == FeedSelector::MaxSmallClusterRetryDelay);
     selector.recordStoreAnswer();
     selector.recordStoreFailure(Start);
-    CHECK(selector.storeRetryDelay(1) == FeedSelector::MinStoreRetryDelay);
+    CHECK(selector.storeRetryDelay(candidates, 1) == FeedSelector::MinStoreRetryDelay);
 }
 
 namespace {
@@ -135,7 +137,7 @@
             if (source.peer.empty()) {
                 ++calls;
                 instance.selector.recordStoreFailure(time);
-                instance.nextAt = time + instance.selector.storeRetryDelay(0);
+                instance.nextAt = time + instance.selector.storeRetryDelay(instance.candidates, 0);
             } else {
                 instance.selector.recordStalePeer(source.peer, Start - milliseconds(2600), time);
                 instance.nextAt = time + (source.acceptsStale ? StalePoll : OtherPoll);
