Deputies of the hubs read the store while all feeds are stale

Change: in each zone the instances that rank next after the hub are its deputies, so that hubs and deputies are at least eight; they call the store, with the same backoff, once all feeds are stale, and the other instances follow them after the hubs. Tests: order of sources of a deputy and of its followers, number of deputies.

--- a/include/chestnutsill/policy/feedselector.h
+++ b/include/chestnutsill/policy/feedselector.h
@@ -17,6 +17,8 @@
     std::vector<std::string> addresses;
     /// Whether this instance is a hub, which reads the store itself for the instances that follow it.
     bool isHub = false;
+    /// Whether this instance reads the store itself while the feeds of all others are stale.
+    bool isDeputy = false;
 
     [[nodiscard]] bool empty() const noexcept { return addresses.empty() && !isHub; }
 };
@@ -43,9 +45,10 @@
 
 /// Selects the source from which an instance reads the changes of the store: the store itself or the feed of
 /// a peer. A hub that cannot reach the store follows the hub of another availability zone. When no hub can
-/// reach the store, only the hubs keep calling it, with exponential backoff: the other instances stay with
-/// their hub, whose old feed is still the newest that can be had. So the number of calls in an outage of the
-/// store depends on the number of hubs and not on that of instances. Not thread-safe.
+/// reach the store, only the hubs and their deputies keep calling it, with exponential backoff, since it may
+/// turn away some instances and serve others. All others stay with their hub, whose old feed is still the
+/// newest that can be had. So the number of calls in an outage of the store depends on the number of hubs and
+/// not on that of instances. Not thread-safe.
 class FeedSelector
 {
 public:
--- a/include/chestnutsill/policy/membership.h
+++ b/include/chestnutsill/policy/membership.h
@@ -87,6 +87,8 @@
     static constexpr std::size_t MaxStatuses = 12;
     /// Heartbeats prefer the statuses of instances discovered less than this time ago.
     static constexpr milliseconds IntroductionTime{5000};
+    /// Minimum number of instances that may call the store when the feeds of all others are stale.
+    static constexpr std::size_t MinStoreReaders = 8;
     /// Time for which a hub that sends no heartbeats is not chosen again.
     static constexpr milliseconds HubBackoff{5000};
 
@@ -157,8 +159,9 @@
     [[nodiscard]] HubTargets hubTargets(Instant now) const;
 
     /// Peers whose feed of the store this instance may follow in a large cluster: the hub of its zone first,
-    /// then the hubs of the other zones, in an order that differs between instances. Empty in a small
-    /// cluster.
+    /// then the hubs of the other zones, in an order that differs between instances, then the deputies of its
+    /// zone. These rank next after the hub; all hubs and deputies together are at least `MinStoreReaders`.
+    /// Empty in a small cluster.
     [[nodiscard]] FeedCandidates feedCandidates(Instant now) const;
 
     /// Statuses for the heartbeat of a round: those of up to `MaxStatuses` recently discovered instances,
@@ -193,6 +196,9 @@
     /// Hub names by availability zone: of this instance's zone and of each zone with a candidate.
     [[nodiscard]] std::map<std::string, std::string, std::less<>> hubs(Instant now) const;
 
+    /// Names of up to `count` instances of this zone, ordered by their rank as a hub.
+    [[nodiscard]] std::vector<std::string> highestRanked(std::size_t count, Instant now) const;
+
     [[nodiscard]] std::string peerAddressOf(const std::string &name) const;
 
     std::string m_ownName;
--- a/src/policy/feedselector.cpp
+++ b/src/policy/feedselector.cpp
@@ -50,7 +50,7 @@
         return {};
     if (std::string peer = firstUsablePeer(candidates, now); !peer.empty())
         return {std::move(peer), false};
-    if (candidates.isHub)
+    if (candidates.isHub || candidates.isDeputy)
         return {};
     std::string peer = bestStalePeer(candidates);
     const bool acceptsStale = !peer.empty();
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -3,6 +3,7 @@
 #include "chestnutsill/policy/hash.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <tuple>
 
@@ -28,6 +29,14 @@
     return items;
 }
 
+/// Rank of an instance among the candidates for the hub of its zone; the highest is the hub.
+using HubRank = std::tuple<bool, int, std::uint64_t>;
+
+HubRank hubRank(std::string_view zone, std::string_view name, bool serving, int strength) noexcept
+{
+    return {serving, strength, stableHash(name, stableHash(zone))};
+}
+
 std::string_view nameOf(const InstanceStatus &status) noexcept
 {
     return status.name;
@@ -115,23 +124,40 @@
 std::map<std::string, std::string, std::less<>> Membership::hubs(Instant now) const
 {
     std::map<std::string, std::string, std::less<>> hubs;
-    std::map<std::string, std::tuple<bool, int, std::uint64_t>, std::less<>> ranks;
-    const auto consider = [&](const std::string &zone, const std::string &name, bool serving, int strength) {
-        const std::tuple rank(serving, strength, stableHash(name, stableHash(zone)));
+    std::map<std::string, HubRank, std::less<>> ranks;
+    const auto consider = [&](const std::string &zone, const std::string &name, const HubRank &rank) {
         const auto [best, isFirst] = ranks.try_emplace(zone, rank);
         if (!isFirst && rank <= best->second)
             return;
         best->second = rank;
         hubs[zone] = name;
     };
-    consider(m_ownZone, m_ownName, m_ownServing, m_ownStrength);
+    consider(m_ownZone, m_ownName, hubRank(m_ownZone, m_ownName, m_ownServing, m_ownStrength));
     for (const auto &[name, known] : m_instances) {
+        const InstanceStatus &status = known.status;
         if (isAlive(known, now) && now >= known.hubBackoffUntil)
-            consider(known.status.zone, name, known.status.serving, known.status.strength);
+            consider(status.zone, name, hubRank(status.zone, name, status.serving, status.strength));
     }
     return hubs;
 }
 
+std::vector<std::string> Membership::highestRanked(std::size_t count, Instant now) const
+{
+    std::vector<std::pair<HubRank, std::string>> ranked{
+        {hubRank(m_ownZone, m_ownName, m_ownServing, m_ownStrength), m_ownName}};
+    for (const auto &[name, known] : m_instances) {
+        const InstanceStatus &status = known.status;
+        if (status.zone == m_ownZone && isAlive(known, now) && now >= known.hubBackoffUntil)
+            ranked.emplace_back(hubRank(m_ownZone, name, status.serving, status.strength), name);
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    ranked.resize(std::min(ranked.size(), count));
+    std::vector<std::string> names;
+    for (auto &[rank, name] : ranked)
+        names.push_back(std::move(name));
+    return names;
+}
+
 std::string Membership::hubOf(std::string_view zone, Instant now) const
 {
     const auto all = hubs(now);
@@ -185,6 +211,14 @@
         candidates.addresses.push_back(peerAddressOf(ownHub));
     for (auto &[rank, address] : others)
         candidates.addresses.push_back(std::move(address));
+    const std::size_t readersPerZone = (MinStoreReaders + all.size() - 1) / all.size();
+    const auto ranked = highestRanked(std::max<std::size_t>(readersPerZone, 2), now);
+    for (std::size_t i = 1; i < ranked.size(); ++i) {
+        if (ranked[i] == m_ownName)
+            candidates.isDeputy = true;
+        else
+            candidates.addresses.push_back(peerAddressOf(ranked[i]));
+    }
     return candidates;
 }
 
