--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -131,7 +131,7 @@
     auto answer = m_feedClient.follow(source, revision(), FeedPollDuration,
                                       FeedPollDuration + FeedResponseTimeout, fiber);
     const bool fresh = answer && isFresh(*answer);
-    if (!fresh && !(answer && source.acceptsStale)) {
+    if (!answer || (!fresh && !source.acceptsStale)) {
         log(LogLevel::Info, "peer-feed-left",
             {{"peer", source.peer},
              {"reason", answer ? std::string("its confirmation is too old") : m_feedClient.lastReason()},
@@ -143,19 +143,24 @@
         m_selector.recordPeerFailure(source.peer, now());
         return;
     }
-    if (answer->removalsDelayedFor > milliseconds(0))
-        m_state.catalog.delayRemovalsUntil(now() + answer->removalsDelayedFor);
     std::optional<Instant> confirmedAt;
-    if (answer->confirmedAge) {
+    if (answer->confirmedAge)
         confirmedAt = confirmedAtOf(answer->items, start, FeedPollDuration) - *answer->confirmedAge;
-        m_confirmedAt = std::max(m_confirmedAt, *confirmedAt);
+    // A stale snapshot is not applied, so its confirmation does not hold for the local copy.
+    if (answer->isSnapshot && !fresh && !source.acceptsStale) {
+        m_selector.recordStalePeer(source.peer, confirmedAt, now());
+        return;
     }
-    if (!answer->isSnapshot)
-        applyChanges(answer->items, answer->revision);
-    else if (fresh || source.acceptsStale)
+    if (answer->removalsDelayedFor > milliseconds(0))
+        m_state.catalog.delayRemovalsUntil(now() + answer->removalsDelayedFor);
+    if (answer->isSnapshot)
         applySnapshot(std::move(answer->items), answer->revision);
-    if (confirmedAt && m_fullReadDone)
+    else
+        applyChanges(answer->items, answer->revision);
+    if (confirmedAt) {
+        m_confirmedAt = std::max(m_confirmedAt, *confirmedAt);
         confirmTable(*confirmedAt);
+    }
     if (fresh) {
         m_selector.recordFreshPeer(source.peer);
         recordSuccess(*confirmedAt);
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -29,7 +29,7 @@
 /// Maximum number of probe connections, opened one after another until one stays open or can't be opened.
 constexpr int MaxProbes = 3;
 /// A caller may close its connection this much before the deadline that this instance has reckoned.
-constexpr milliseconds DeadlineTolerance{100};
+constexpr milliseconds CallerCloseTolerance{100};
 constexpr int FirstServerError = 500;
 constexpr int StatusOk = 200;
 
@@ -276,7 +276,7 @@
     const auto expected = std::chrono::duration_cast<Instant>(
         std::chrono::duration<double, std::milli>(attempt.expectedFirstTokenMs));
     const Instant time = now();
-    const bool missedDeadline = time + DeadlineTolerance >= context.deadline;
+    const bool missedDeadline = time + CallerCloseTolerance >= context.deadline;
     if (attempt.firstTokenAt != Instant{} || missedDeadline) {
         const Instant until = attempt.firstTokenAt != Instant{} ? attempt.firstTokenAt : time;
         m_state.deadlineEstimator.recordFirstToken(context.route->name, expected, until - attempt.sentAt,
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -126,7 +126,7 @@
         if (isTooLate(context, attempt, time))
             return refuseNotRun("too-late", "no upstream can complete the request before its deadline");
         const UpstreamCandidate &candidate = candidates[selection->candidate];
-        attempt.hadNoQueue = candidate.tokensToPrefill < 1 && !candidate.inColdStart && !selection->source;
+        attempt.hadNoQueue = candidate.tokensToPrefill < 1 && !candidate.inColdStart;
         if (selection->source)
             attempt.fetchFrom = m_state.catalog.find(candidates[*selection->source].upstream)->entry.address;
         // The limiter allowed this when the candidates were collected, and its state hasn't changed since.
