--- a/include/chestnutsill/net/connectionpool.h
+++ b/include/chestnutsill/net/connectionpool.h
@@ -27,9 +27,6 @@
     void release(std::string_view upstream, std::unique_ptr<HttpClient> client, milliseconds maxIdleTime,
                  Instant now);
 
-    /// Whether there is a connection to an upstream that has not been idle for too long.
-    [[nodiscard]] bool hasIdle(std::string_view upstream, Instant now) const;
-
     /// Closes all idle connections to an upstream.
     void close(std::string_view upstream);
 
--- a/include/chestnutsill/policy/upstreamselection.h
+++ b/include/chestnutsill/policy/upstreamselection.h
@@ -36,8 +36,6 @@
     bool inColdStart = false;
     /// Whether it is in the availability zone of this instance.
     bool sameZone = false;
-    /// Whether this instance has an idle connection to it.
-    bool connected = false;
 };
 
 /// Coefficients for estimating the time to the first token at the upstreams of a service.
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -1,7 +1,5 @@
 #include "chestnutsill/net/connectionpool.h"
 
-#include <algorithm>
-
 namespace chestnutsill {
 
 std::unique_ptr<HttpClient> ConnectionPool::acquire(std::string_view upstream, Instant now)
@@ -27,14 +25,6 @@
         connections.push_back({std::move(client), now + maxIdleTime});
 }
 
-bool ConnectionPool::hasIdle(std::string_view upstream, Instant now) const
-{
-    const auto found = m_idle.find(upstream);
-    return found != m_idle.end()
-           && std::any_of(found->second.begin(), found->second.end(),
-                          [&](const IdleConnection &idle) { return now < idle.expiresAt; });
-}
-
 void ConnectionPool::close(std::string_view upstream)
 {
     if (const auto found = m_idle.find(upstream); found != m_idle.end())
--- a/src/policy/upstreamselection.cpp
+++ b/src/policy/upstreamselection.cpp
@@ -29,9 +29,6 @@
 constexpr double FailurePenaltyMs = 3000;
 /// Penalty for another availability zone, in milliseconds; breaks ties in favour of traffic within the zone.
 constexpr double OtherZonePenaltyMs = 2;
-/// Penalty for an upstream to which a connection must be opened, in milliseconds: the round trip and the
-/// upstream's work for it. It decides between upstreams that are about equally loaded.
-constexpr double NewConnectionPenaltyMs = 4;
 /// Penalty for a gap-sensitive stream on an upstream that prefills long prompts, in milliseconds: about the
 /// time to the first token that such streams tolerate.
 constexpr double GapSensitivePenaltyMs = 500;
@@ -40,8 +37,8 @@
 constexpr double OtherRequestPenaltyMs = 100;
 constexpr double OtherRequestPenaltyPerRunningMs = 20;
 /// Upstreams that are sampled for a request: at least this many on average, and less than twice as many.
-/// Those that have its shared part cached, are connected, are in cold start or rank first are added. With
-/// more, all instances would send to the one that was least loaded in the latest reports.
+/// Those that have its shared part cached, are in cold start or rank first are added. With more, all
+/// instances would send to the one that was least loaded in the latest reports.
 constexpr std::size_t SampleSize = 10;
 /// Smallest and largest share of the upstreams that are reserved for gap-sensitive streams; it grows with
 /// the number of streams. The rest is left to long prompts.
@@ -184,8 +181,7 @@
                   + redundant / timeModel.prefillTokensPerMs * (redundantPrefillWeight - 1)
                   + fetched / timeModel.prefillTokensPerMs * FetchWeight
                   + candidate.failureRate * FailurePenaltyMs + (candidate.sameZone ? 0 : OtherZonePenaltyMs)
-                  + (candidate.connected ? 0 : NewConnectionPenaltyMs) + candidate.separationPenaltyMs
-                  + jitter(draw);
+                  + candidate.separationPenaltyMs + jitter(draw);
     return result;
 }
 
@@ -267,8 +263,8 @@
         const bool hasSharedCached =
             availability.sharedTokens > 0 && candidate.cachedTokens >= availability.sharedTokens;
         const std::uint64_t draw = stableHash(candidate.upstream, seed);
-        if (!isFirstRanked && !hasSharedCached && !candidate.inColdStart && !candidate.connected
-            && draw % stride != 0 && (best || i + 1 < candidates.size()))
+        if (!isFirstRanked && !hasSharedCached && !candidate.inColdStart && draw % stride != 0
+            && (best || i + 1 < candidates.size()))
             continue;
         const Estimate expected =
             estimate(candidate, isFirstRanked, prompt, availability, redundantPrefillWeight, timeModel, draw);
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -78,8 +78,7 @@
                          .prefilledTokens = cachedTokens.prefilled,
                          .failureRate = m_state.outlierDetector.failureRate(id, time),
                          .inColdStart = isCold,
-                         .sameZone = record->entry.zone == m_settings.zone,
-                         .connected = m_state.connections.hasIdle(id, time)});
+                         .sameZone = record->entry.zone == m_settings.zone});
     }
     return found;
 }
