--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -153,6 +153,7 @@
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     ranked.resize(std::min(ranked.size(), count));
     std::vector<std::string> names;
+    names.reserve(ranked.size());
     for (auto &[rank, name] : ranked)
         names.push_back(std::move(name));
     return names;
