--- a/src/daemon/storewatcher.h
+++ b/src/daemon/storewatcher.h
@@ -15,8 +15,8 @@
 
 namespace chestnutsill {
 
-/// Keeps the catalog in step with the store: reads all items once, then receives changes by long polls, both
-/// either from the store itself or from a peer that relays them.
+/// Keeps the catalog in step with the store: reads all items once, then receives changes by long polls. Both
+/// come from the store itself or from a peer that relays them.
 class StoreWatcher
 {
 public:
