Log how long an upstream has been silent when an attempt ends without an answer

SilenceDetector measures it over all connections of this instance; attempt-failed carries it, for callers that left too. No decision uses it.

--- a/include/chestnutsill/chestnutsill.h
+++ b/include/chestnutsill/chestnutsill.h
@@ -33,6 +33,7 @@
 #include "chestnutsill/policy/retrybudget.h"
 #include "chestnutsill/policy/revisionlagdetector.h"
 #include "chestnutsill/policy/routing.h"
+#include "chestnutsill/policy/silencedetector.h"
 #include "chestnutsill/policy/upstreamload.h"
 #include "chestnutsill/policy/upstreamselection.h"
 #include "chestnutsill/policy/verdict.h"
--- a/include/chestnutsill/fwd.h
+++ b/include/chestnutsill/fwd.h
@@ -23,6 +23,7 @@
 class PrefixCacheIndex;
 class RetryBudget;
 class RevisionLagDetector;
+class SilenceDetector;
 class WindowedRetryBudget;
 
 enum class AttemptResult;
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -12,6 +12,7 @@
 #include "chestnutsill/policy/membership.h"
 #include "chestnutsill/policy/outlierdetector.h"
 #include "chestnutsill/policy/prefillrate.h"
+#include "chestnutsill/policy/silencedetector.h"
 #include "chestnutsill/policy/upstreamload.h"
 #include "chestnutsill/policy/upstreamselection.h"
 #include "chestnutsill/policy/windowedretrybudget.h"
@@ -52,6 +53,7 @@
     LoadTable loadTable;
     PrefixCacheIndex prefixCacheIndex;
     OutlierDetector outlierDetector;
+    SilenceDetector silenceDetector;
     PrefillRateEstimator prefillRates;
     DeadlineEstimator deadlineEstimator;
     WindowedRetryBudget retryBudget;
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -33,6 +33,11 @@
 constexpr int FirstServerError = 500;
 constexpr int StatusOk = 200;
 
+double toMs(Instant time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
 /// Time until the deadline of the request, at least 1 ms.
 milliseconds remainingTime(const RequestContext &context)
 {
@@ -40,12 +45,15 @@
 }
 
 /// Reads a piece of the response body. Fails at the deadline of the request, also while bytes keep arriving.
-std::optional<std::string> readPiece(const RequestContext &context, UpstreamAttempt &attempt,
-                                     const Fiber &fiber)
+std::optional<std::string> readPiece(RouterState &state, const RequestContext &context,
+                                     UpstreamAttempt &attempt, const Fiber &fiber)
 {
     if (now() >= context.deadline)
         return std::nullopt;
-    return attempt.client->readPiece(remainingTime(context), fiber);
+    auto piece = attempt.client->readPiece(remainingTime(context), fiber);
+    if (piece)
+        state.silenceDetector.recordBytes(attempt.upstream, now());
+    return piece;
 }
 
 /// Why reading a response failed.
@@ -56,11 +64,12 @@
 
 /// Reads the rest of a response that is not forwarded, so that its connection can be reused. Returns false if
 /// it has no end in time or is too large for that.
-bool discardBody(const RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber)
+bool discardBody(RouterState &state, const RequestContext &context, UpstreamAttempt &attempt,
+                 const Fiber &fiber)
 {
     std::size_t discarded = 0;
     while (discarded <= MaxDiscardedBytes) {
-        const auto piece = readPiece(context, attempt, fiber);
+        const auto piece = readPiece(state, context, attempt, fiber);
         if (!piece)
             return false;
         if (piece->empty())
@@ -120,6 +129,7 @@
     attempt.sentAt = now();
     ++context.possibleRuns;
     ++context.sentAttempts;
+    m_state.silenceDetector.recordSend(attempt.upstream, attempt.sentAt);
     attempt.client->startSend({context.request.method, context.request.target, fields, context.request.body},
                               remainingTime(context));
     receive(context, attempt, fiber);
@@ -133,6 +143,7 @@
             recordFailure(attempt, AttemptResult::Broken, attempt.client->lastReason());
             return;
         }
+        m_state.silenceDetector.recordBytes(attempt.upstream, now());
         auto response = m_protocol.interpret(*head, context.request.attemptId);
         attempt.status = head->status;
         if (response.outcome == UpstreamResponse::Outcome::Answer) {
@@ -161,7 +172,7 @@
                 relayResponse(context, attempt, forwardedHead, fiber);
             }
         } else {
-            const bool hasEnded = discardBody(context, attempt, fiber);
+            const bool hasEnded = discardBody(m_state, context, attempt, fiber);
             if (!hasEnded)
                 response.maxIdleTime.reset();
             if (response.outcome == UpstreamResponse::Outcome::Stray && hasEnded && head->keepAlive)
@@ -189,7 +200,7 @@
 {
     std::string body;
     for (;;) {
-        auto piece = readPiece(context, attempt, fiber);
+        auto piece = readPiece(m_state, context, attempt, fiber);
         if (!piece) {
             recordFailure(attempt, AttemptResult::Broken, readFailureReason(context, attempt));
             return;
@@ -232,7 +243,7 @@
 {
     context.eventSplitter.reset();
     for (;;) {
-        const auto piece = readPiece(context, attempt, fiber);
+        const auto piece = readPiece(m_state, context, attempt, fiber);
         const bool isCutShort = piece && piece->empty() && head.endsWithConnection
                                 && !context.eventSplitter.pendingBytes().empty();
         if (!piece || isCutShort) {
@@ -292,6 +303,9 @@
     if (!attempt.firstByteSeen)
         m_state.loadTable.recordPrefill(attempt.upstream, attempt.tokensToPrefill);
     m_state.loadTable.recordEnd(attempt.upstream);
+    attempt.upstreamSilence = m_state.silenceDetector.silence(attempt.upstream, time);
+    if (attempt.sent)
+        m_state.silenceDetector.recordEnd(attempt.upstream);
     m_state.crashTracker.recordEnd(attempt.upstream, context.fingerprint,
                                    attempt.connectionBroke && !context.callerGone, time);
     context.activeClient = nullptr;
@@ -301,6 +315,16 @@
     if (attempt.sent && attempt.verdict == Verdict::NotRun)
         --context.possibleRuns;
     recordTimes(context, attempt);
+    if (attempt.result != AttemptResult::Served) {
+        log(LogLevel::Info, "attempt-failed",
+            {{"requestId", context.request.attemptId},
+             {"upstream", attempt.upstream},
+             {"verdict", std::string(toString(attempt.verdict))},
+             {"status", static_cast<std::int64_t>(attempt.status)},
+             {"reason", context.callerGone ? std::string("caller-gone") : attempt.reason},
+             {"sentMs", attempt.sent ? toMs(time - attempt.sentAt) : 0.0},
+             {"upstreamSilentMs", toMs(attempt.upstreamSilence)}});
+    }
     if (context.callerGone)
         return;
     m_state.outlierDetector.record(attempt.upstream, attempt.result, time);
@@ -310,14 +334,6 @@
         handleUnreachable(attempt.upstream, !attempt.client->timedOut());
     else if (attempt.connectionBroke)
         probe(attempt.upstream, attempt.address, fiber);
-    if (attempt.result != AttemptResult::Served) {
-        log(LogLevel::Info, "attempt-failed",
-            {{"requestId", context.request.attemptId},
-             {"upstream", attempt.upstream},
-             {"verdict", std::string(toString(attempt.verdict))},
-             {"status", static_cast<std::int64_t>(attempt.status)},
-             {"reason", attempt.reason}});
-    }
 }
 
 void Router::handleUnreachable(const std::string &upstream, bool refused)
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -28,6 +28,8 @@
     double expectedFirstTokenMs = 0;
     Instant sentAt{};
     Instant firstTokenAt{};
+    /// How long the upstream had sent nothing on any connection when the attempt ended.
+    Instant upstreamSilence{};
     /// Address of the upstream from whose prefix cache it fetches shared prompt parts; empty for none.
     std::string fetchFrom;
     std::unique_ptr<HttpClient> client;
