--- a/tests/standin/faultproxy.cpp
+++ b/tests/standin/faultproxy.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
 #include <array>
 #include <memory>
 #include <vector>
@@ -26,7 +28,8 @@
 
 /// A TCP proxy that injects faults. Options: listen, target, control. The address `control` takes commands as
 /// JSON with the fields `mode` (pass; cut: close all connections and reject new ones; silent: forward
-/// nothing; mute: forward no responses), `silenceOpen` (connections that are open now forward nothing from
+/// nothing; mute: forward no responses; dark: forward nothing and leave new connections without an answer, as
+/// a machine without power does), `silenceOpen` (connections that are open now forward nothing from
 /// now on) and `delayMs` (delay of forwarded data).
 class FaultProxy
 {
@@ -65,7 +68,7 @@
     {
         const json::object command = parseObject(exchange.request().body);
         if (command.contains("mode"))
-            m_mode = command.at("mode").as_string().c_str();
+            setMode(command.at("mode").as_string().c_str());
         m_delayMs = integer(command, "delayMs", m_delayMs);
         for (const auto &weak : m_connections) {
             const auto connection = weak.lock();
@@ -79,9 +82,34 @@
         respondJson(exchange, 200, json::object{{"connections", m_connections.size()}}, fiber);
     }
 
+    void setMode(const std::string &mode)
+    {
+        constexpr int Fillers = 2;
+        const bool wasDark = m_mode == "dark";
+        m_mode = mode;
+        if (wasDark == (mode == "dark"))
+            return;
+        // The kernel ignores attempts to connect while the queue of connections to accept is full.
+        ::listen(m_acceptor.native_handle(), wasDark ? boost::asio::socket_base::max_listen_connections : 0);
+        m_fillers.clear();
+        if (wasDark)
+            return;
+        m_acceptor.cancel();
+        for (int i = 0; i < Fillers; ++i) {
+            auto filler = std::make_shared<tcp::socket>(m_io);
+            filler->async_connect(m_acceptor.local_endpoint(),
+                                  [filler](const boost::system::error_code &) {});
+            m_fillers.push_back(std::move(filler));
+        }
+    }
+
     void accept(const Fiber &fiber)
     {
         for (;;) {
+            if (m_mode == "dark") {
+                sleepFor(milliseconds(20), fiber);
+                continue;
+            }
             auto connection = std::make_shared<Connection>(m_io);
             boost::system::error_code error;
             m_acceptor.async_accept(connection->caller, fiber[error]);
@@ -116,7 +144,8 @@
         for (;;) {
             const std::size_t size = from.async_read_some(boost::asio::buffer(buffer), fiber[error]);
             const auto isSilent = [&] {
-                return connection->silenced || m_mode == "silent" || (m_mode == "mute" && isResponse);
+                return connection->silenced || m_mode == "silent" || m_mode == "dark"
+                       || (m_mode == "mute" && isResponse);
             };
             if (isSilent())
                 delayClose(connection, from, fiber, error);
@@ -149,6 +178,8 @@
     std::string m_mode = "pass";
     std::int64_t m_delayMs = 0;
     std::vector<std::weak_ptr<Connection>> m_connections;
+    /// Connections that fill the queue of connections to accept.
+    std::vector<std::shared_ptr<tcp::socket>> m_fillers;
     HttpServer m_control;
 };
 
