Detect upstreams that go silent, verify them, and tell peers

What callers saw: after a zone lost power while another one was out of service, requests of the most urgent route got nothing for seconds, while engines elsewhere took less urgent ones.

Cause: silence was no evidence. An upstream without power closes no connection, so nothing failed; each request found another idle connection and waited until its caller left, and a caller that left counted as no failure. Only the expiry of the lease, 2.7 to 3.6 s later, ended that. Class of fault: a failure detector that counts only explicit failures.

Change: SilenceDetector raises a suspicion from missing bytes, over all connections of an upstream; a health check on a new connection verifies it; a silent upstream gets no requests until it responds. Peers are told at once and verify the report themselves. Requests that may be repeated are sent elsewhere after two checks without a response.

Why it works: the streams in progress stop at the moment of the failure, so that some instance suspects the upstream within 200 ms, and all know of it 150 to 350 ms later, however many idle connections they keep.

--- a/include/chestnutsill/peer/gossipmessage.h
+++ b/include/chestnutsill/peer/gossipmessage.h
@@ -51,6 +51,8 @@
     milliseconds followedFor{};
     /// Fingerprints of requests that were suspected of causing a crash and have since completed.
     std::vector<std::uint64_t> cleared;
+    /// Hashes of the ids of upstreams that are silent for the sender; see `SilenceDetector`.
+    std::vector<std::uint64_t> silentUpstreams;
 };
 
 /// Encodes a heartbeat as a packed Cap'n Proto message.
--- a/include/chestnutsill/policy/routing.h
+++ b/include/chestnutsill/policy/routing.h
@@ -68,7 +68,7 @@
 /// A group of upstreams that serve the same routes.
 struct Service
 {
-    /// Path of the upstreams' health check, as published. Not used for routing.
+    /// Path of the upstreams' health check, with which suspected upstreams are verified.
     std::string healthPath;
     /// Maximum number of connections, as published. Not used for routing.
     int maxConnections = 0;
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -19,6 +19,7 @@
 #include "chestnutsill/router/protocoladapter.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -86,12 +87,19 @@
     /// Serves one request of a caller.
     void handle(Exchange &exchange, const Fiber &fiber);
 
+    /// Detects and verifies silent upstreams until the process ends.
+    void monitorSilence(boost::asio::io_context &io, const Fiber &fiber);
+
 private:
     [[nodiscard]] std::optional<Answer> resolveRoute(RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> authorize(RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> run(RequestContext &context, const Fiber &fiber);
+    /// Upstreams that a request may be sent to. Suspected ones are left out while there are others, and
+    /// silent ones always.
     [[nodiscard]] std::vector<UpstreamCandidate> collectCandidates(const RequestContext &context,
                                                                    Instant time) const;
+    [[nodiscard]] std::vector<UpstreamCandidate> collectCandidates(const RequestContext &context,
+                                                                   Instant time, bool includeSuspected) const;
     [[nodiscard]] std::optional<Answer> chooseUpstream(RequestContext &context, UpstreamAttempt &attempt);
     void send(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
     void receive(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
@@ -107,6 +115,12 @@
     [[nodiscard]] bool isTooLate(RequestContext &context, const UpstreamAttempt &attempt, Instant time) const;
     void handleUnreachable(const std::string &upstream, bool refused);
     void probe(const std::string &upstream, const std::string &address, const Fiber &fiber);
+    /// Checks the health of a suspected upstream until it responds, has ended or is no longer published.
+    void verifySilence(const std::string &upstream, const Fiber &fiber);
+    [[nodiscard]] std::string healthPath(std::string_view serviceName) const;
+    void recordSilence(const std::string &upstream, Instant silence);
+    /// Ends the attempts that wait at a silent upstream and may be made at another one.
+    void retryElsewhere(const std::string &upstream);
     void respond(RequestContext &context, const Answer &answer, const Fiber &fiber) const;
     void recordOutcome(const RequestContext &context, const std::optional<Answer> &answer);
     [[nodiscard]] bool isKeyFresh() const;
@@ -123,6 +137,13 @@
     RouterState &m_state;
     /// Upstreams with a probe in progress.
     std::set<std::string, std::less<>> m_probedUpstreams;
+    struct AttemptInProgress
+    {
+        RequestContext *context;
+        UpstreamAttempt *attempt;
+    };
+    /// Attempts whose request was sent, by upstream.
+    std::multimap<std::string, AttemptInProgress, std::less<>> m_attemptsInProgress;
 };
 
 } // namespace chestnutsill
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -137,6 +137,7 @@
         m_state.notifyPeers = [this] { m_gossip.sendRound(); };
         startFiber(m_io, [this](const Fiber &fiber) { m_storeWatcher.run(fiber); });
         startFiber(m_io, [this](const Fiber &fiber) { m_gossip.run(fiber); });
+        startFiber(m_io, [this](const Fiber &fiber) { m_router.monitorSilence(m_io, fiber); });
         startFiber(m_io, [this](const Fiber &fiber) { runHousekeeping(fiber); });
         waitForSignal();
         log(LogLevel::Info, "started",
--- a/src/daemon/statetext.cpp
+++ b/src/daemon/statetext.cpp
@@ -29,6 +29,7 @@
             {"leaving", entry.leaving},
             {"coldForMs", std::max(0.0, toMs(record.coldUntil - now))},
             {"leftOut", state.outlierDetector.isEjected(entry.id, now)},
+            {"silent", state.silenceDetector.isSilent(entry.id)},
             {"failureShare", state.outlierDetector.failureRate(entry.id, now)},
             {"running", load.running},
             {"unreadTokens", load.tokensToPrefill}};
--- a/src/daemon/udpgossip.cpp
+++ b/src/daemon/udpgossip.cpp
@@ -3,7 +3,9 @@
 #include "chestnutsill/clock.h"
 #include "chestnutsill/net/address.h"
 #include "chestnutsill/observe/log.h"
+#include "chestnutsill/policy/hash.h"
 
+#include <algorithm>
 #include <set>
 
 namespace chestnutsill {
@@ -15,6 +17,8 @@
 /// Rounds between two heartbeats to the seeds while other instances are known. After a network partition a
 /// seed may reach members that this instance has lost.
 constexpr std::uint64_t SeedRounds = 10;
+/// Maximum number of silent upstreams in a heartbeat, which has to fit into a datagram.
+constexpr std::size_t MaxSilentUpstreams = 64;
 
 std::optional<Udp::endpoint> toEndpoint(std::string_view address)
 {
@@ -76,6 +80,7 @@
         m_state.crashTracker.mergeNotice(notice, time, m_isHub);
     for (const std::uint64_t fingerprint : message.cleared)
         m_state.crashTracker.mergeCleared(fingerprint, m_isHub);
+    recordSilentUpstreams(message.silentUpstreams, time);
     m_lastHeartbeats[message.self.peerAddress] = {message.self.incarnation, message.sentAt, time};
     const auto &table = m_state.catalog.table();
     const std::uint64_t ownVersion = table ? table->version : 0;
@@ -89,6 +94,16 @@
     replyTo(message, time);
 }
 
+void UdpGossip::recordSilentUpstreams(std::span<const std::uint64_t> upstreams, Instant time)
+{
+    if (upstreams.empty())
+        return;
+    for (const auto &[id, record] : m_state.catalog.upstreams()) {
+        if (std::find(upstreams.begin(), upstreams.end(), stableHash(id)) != upstreams.end())
+            m_state.silenceDetector.recordPeerReport(id, time);
+    }
+}
+
 void UdpGossip::replyTo(const GossipMessage &message, Instant time)
 {
     // Reply at once to a sender that knows few instances or none, or that asks for statuses; it would need
@@ -134,6 +149,10 @@
     message.cacheUpdates = m_state.prefixCacheIndex.takeUpdates();
     message.crashes = m_state.crashTracker.takeNotices();
     message.cleared = m_state.crashTracker.takeCleared();
+    for (const std::string_view upstream : m_state.silenceDetector.silentUpstreams()) {
+        if (message.silentUpstreams.size() < MaxSilentUpstreams)
+            message.silentUpstreams.push_back(stableHash(upstream));
+    }
     message.unknownInstances = m_state.membership.unknownInstances();
     message.sentAt = time;
     return message;
--- a/src/daemon/udpgossip.h
+++ b/src/daemon/udpgossip.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,7 @@
     void receive();
     void handleHeartbeat(const GossipMessage &message);
     void replyTo(const GossipMessage &message, Instant time);
+    void recordSilentUpstreams(std::span<const std::uint64_t> upstreams, Instant time);
     void confirmFreshness(const GossipMessage &message, std::uint64_t ownVersion, Instant time);
 
     [[nodiscard]] GossipMessage makeHeartbeat(Instant time);
--- a/src/peer/fleet.capnp
+++ b/src/peer/fleet.capnp
@@ -80,4 +80,6 @@
   revision @13 :UInt64;
   # How long the sender has followed the store without a gap; 0 when it can't read the store.
   followedMs @14 :UInt32;
+  # Hashes of the ids of upstreams that answer neither requests nor health checks of the sender.
+  silent @15 :List(UInt64);
 }
--- a/src/peer/gossipmessage.cpp
+++ b/src/peer/gossipmessage.cpp
@@ -146,6 +146,7 @@
         crashes[i].setFingerprints({fingerprints.data(), fingerprints.size()});
     }
     root.setCleared({gossip.cleared.data(), gossip.cleared.size()});
+    root.setSilent({gossip.silentUpstreams.data(), gossip.silentUpstreams.size()});
     return impl::toBytes(message);
 }
 
@@ -177,6 +178,7 @@
             gossip.crashes.push_back({crash.getIncarnation(), toNumbers(crash.getFingerprints())});
         }
         gossip.cleared = toNumbers(root.getCleared());
+        gossip.silentUpstreams = toNumbers(root.getSilent());
     });
     if (!isValid || gossip.self.name.empty())
         return std::nullopt;
--- a/src/peer/impl/fleet.capnp.h
+++ b/src/peer/impl/fleet.capnp.h
@@ -128,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 5, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 5, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -755,6 +755,9 @@
 
   inline  ::uint32_t getFollowedMs() const;
 
+  inline bool hasSilent() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSilent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -867,6 +870,14 @@
   inline  ::uint32_t getFollowedMs();
   inline void setFollowedMs( ::uint32_t value);
 
+  inline bool hasSilent();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSilent();
+  inline void setSilent( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSilent(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSilent(unsigned int size);
+  inline void adoptSilent(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSilent();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1721,6 +1732,44 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetBeat::Reader::hasSilent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasSilent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FleetBeat::Reader::getSilent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetBeat::Builder::getSilent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::setSilent( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline void FleetBeat::Builder::setSilent(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetBeat::Builder::initSilent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void FleetBeat::Builder::adoptSilent(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FleetBeat::Builder::disownSilent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -81,9 +81,10 @@
 
 void recordFailure(UpstreamAttempt &attempt, AttemptResult result, std::string reason)
 {
-    attempt.connectionBroke = result == AttemptResult::Broken && !attempt.client->timedOut();
+    attempt.connectionBroke =
+        result == AttemptResult::Broken && !attempt.client->timedOut() && !attempt.retryGranted;
     attempt.result = result;
-    attempt.reason = std::move(reason);
+    attempt.reason = attempt.retryGranted ? std::string("the upstream is silent") : std::move(reason);
     attempt.verdict = attempt.sent ? Verdict::MayHaveRun : Verdict::NotRun;
 }
 
@@ -129,10 +130,17 @@
     attempt.sentAt = now();
     ++context.possibleRuns;
     ++context.sentAttempts;
-    m_state.silenceDetector.recordSend(attempt.upstream, attempt.sentAt);
+    m_state.silenceDetector.recordSend(
+        attempt.upstream,
+        std::chrono::duration_cast<Instant>(
+            std::chrono::duration<double, std::milli>(attempt.expectedFirstTokenMs)),
+        attempt.sentAt);
+    const auto inProgress =
+        m_attemptsInProgress.emplace(attempt.upstream, AttemptInProgress{&context, &attempt});
     attempt.client->startSend({context.request.method, context.request.target, fields, context.request.body},
                               remainingTime(context));
     receive(context, attempt, fiber);
+    m_attemptsInProgress.erase(inProgress);
 }
 
 void Router::receive(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber)
@@ -149,6 +157,7 @@
         if (response.outcome == UpstreamResponse::Outcome::Answer) {
             if (!attempt.firstByteSeen) {
                 attempt.firstByteSeen = true;
+                m_state.silenceDetector.recordFirstBytes(attempt.upstream);
                 m_state.loadTable.recordPrefill(attempt.upstream, attempt.tokensToPrefill);
                 if (head->status == StatusOk)
                     attempt.firstTokenAt = now();
@@ -305,7 +314,7 @@
     m_state.loadTable.recordEnd(attempt.upstream);
     attempt.upstreamSilence = m_state.silenceDetector.silence(attempt.upstream, time);
     if (attempt.sent)
-        m_state.silenceDetector.recordEnd(attempt.upstream);
+        m_state.silenceDetector.recordEnd(attempt.upstream, attempt.firstByteSeen);
     m_state.crashTracker.recordEnd(attempt.upstream, context.fingerprint,
                                    attempt.connectionBroke && !context.callerGone, time);
     context.activeClient = nullptr;
@@ -342,8 +351,10 @@
     m_state.connections.close(upstream);
     // A timeout may also come from a fault of this instance's own network; only a refused connection proves
     // that the upstream process has ended.
-    if (!refused)
+    if (!refused) {
+        m_state.silenceDetector.suspect(upstream, time);
         return;
+    }
     m_state.catalog.suspectRestart(upstream, time);
     m_state.prefixCacheIndex.forget(upstream);
     const UpstreamRecord *record = m_state.catalog.find(upstream);
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -51,6 +51,13 @@
 } // namespace
 
 std::vector<UpstreamCandidate> Router::collectCandidates(const RequestContext &context, Instant time) const
+{
+    auto candidates = collectCandidates(context, time, false);
+    return candidates.empty() ? collectCandidates(context, time, true) : candidates;
+}
+
+std::vector<UpstreamCandidate> Router::collectCandidates(const RequestContext &context, Instant time,
+                                                         bool includeSuspected) const
 {
     std::vector<UpstreamCandidate> found;
     std::vector<std::string> instances;
@@ -58,7 +65,8 @@
         const std::string &id = record->entry.id;
         const bool wasTried = std::find(context.triedUpstreams.begin(), context.triedUpstreams.end(), id)
                               != context.triedUpstreams.end();
-        if (wasTried || m_state.outlierDetector.isEjected(id, time))
+        if (wasTried || m_state.outlierDetector.isEjected(id, time) || m_state.silenceDetector.isSilent(id)
+            || (!includeSuspected && m_state.silenceDetector.isSuspected(id)))
             continue;
         const bool isCold = isInColdStart(context, *record, time);
         if (isCold) {
--- /dev/null
+++ b/src/router/silence.cpp
@@ -0,0 +1,137 @@
+#include "chestnutsill/router/router.h"
+
+#include "chestnutsill/clock.h"
+#include "chestnutsill/observe/log.h"
+#include "requestcontext.h"
+
+#include <algorithm>
+
+namespace chestnutsill {
+
+namespace {
+
+/// Timeout for opening the connection of a health check: many round trips to an upstream.
+constexpr milliseconds HealthConnectTimeout{150};
+/// Timeout for the response to a health check, which waits for a slot like any other request.
+constexpr milliseconds HealthTimeout{300};
+constexpr std::size_t MaxHealthBytes = 65'536;
+/// How long the connection of an answered health check is kept for a request.
+constexpr milliseconds HealthMaxIdleTime{300};
+/// Pause after the first health check without a response, and its maximum; it doubles with each one.
+constexpr milliseconds FirstHealthPause{50};
+constexpr milliseconds MaxHealthPause{1000};
+/// Health checks without a response after which requests that wait at the upstream are sent elsewhere: a
+/// single one may have been lost on the network.
+constexpr int ChecksBeforeRetry = 2;
+
+enum class HealthResult {
+    Answered,
+    /// The upstream's process has ended.
+    Refused,
+    NoAnswer,
+};
+
+HealthResult checkHealth(HttpClient &client, const std::string &address, std::string_view path,
+                         const Fiber &fiber)
+{
+    if (!client.connect(address, HealthConnectTimeout, fiber))
+        return client.timedOut() ? HealthResult::NoAnswer : HealthResult::Refused;
+    const auto response = client.call({.target = path}, MaxHealthBytes, HealthTimeout, fiber);
+    return response || !client.timedOut() ? HealthResult::Answered : HealthResult::NoAnswer;
+}
+
+} // namespace
+
+void Router::monitorSilence(boost::asio::io_context &io, const Fiber &fiber)
+{
+    for (;;) {
+        sleepFor(SilenceDetector::CheckPeriod, fiber);
+        for (const std::string &upstream : m_state.silenceDetector.detect(now()))
+            startFiber(io, [this, upstream](const Fiber &checking) { verifySilence(upstream, checking); });
+    }
+}
+
+void Router::verifySilence(const std::string &upstream, const Fiber &fiber)
+{
+    SilenceDetector &detector = m_state.silenceDetector;
+    const Instant start = now();
+    const Instant silence = detector.silence(upstream, start);
+    milliseconds pause = FirstHealthPause;
+    std::string_view outcome = "answered";
+    int checks = 0;
+    while (detector.isSuspected(upstream)) {
+        const UpstreamRecord *record = m_state.catalog.find(upstream);
+        if (record == nullptr) {
+            outcome = "gone";
+            detector.dismiss(upstream);
+            break;
+        }
+        const std::string address = record->entry.address;
+        auto client = std::make_unique<HttpClient>();
+        ++checks;
+        const HealthResult result = checkHealth(*client, address, healthPath(record->entry.service), fiber);
+        if (result == HealthResult::Answered) {
+            detector.recordBytes(upstream, now());
+            if (client->isIdle())
+                m_state.connections.release(upstream, std::move(client), HealthMaxIdleTime, now());
+        } else if (result == HealthResult::Refused) {
+            outcome = "refused";
+            m_state.outlierDetector.record(upstream, AttemptResult::Unreachable, now());
+            handleUnreachable(upstream, true);
+            detector.dismiss(upstream);
+        } else if (detector.isSuspected(upstream)) {
+            recordSilence(upstream, silence);
+            if (checks >= ChecksBeforeRetry)
+                retryElsewhere(upstream);
+            sleepFor(pause, fiber);
+            pause = std::min(2 * pause, MaxHealthPause);
+        }
+    }
+    detector.endVerification(upstream);
+    log(LogLevel::Info, "silence-ended",
+        {{"upstream", upstream},
+         {"outcome", std::string(outcome)},
+         {"checks", static_cast<std::int64_t>(checks)},
+         {"silentMs", std::chrono::duration<double, std::milli>(silence + now() - start).count()}});
+}
+
+std::string Router::healthPath(std::string_view serviceName) const
+{
+    const auto &table = m_state.catalog.table();
+    if (table) {
+        const auto service = table->services.find(serviceName);
+        if (service != table->services.end() && !service->second.healthPath.empty())
+            return service->second.healthPath;
+    }
+    return "/";
+}
+
+void Router::recordSilence(const std::string &upstream, Instant silence)
+{
+    if (m_state.silenceDetector.isSilent(upstream))
+        return;
+    m_state.silenceDetector.recordUnanswered(upstream);
+    m_state.connections.close(upstream);
+    log(LogLevel::Warning, "upstream-silent",
+        {{"upstream", upstream}, {"silentMs", std::chrono::duration<double, std::milli>(silence).count()}});
+    if (m_state.notifyPeers)
+        m_state.notifyPeers();
+}
+
+void Router::retryElsewhere(const std::string &upstream)
+{
+    const auto [begin, end] = m_attemptsInProgress.equal_range(upstream);
+    for (auto item = begin; item != end; ++item) {
+        auto &[context, attempt] = item->second;
+        // Without a free upstream elsewhere the request keeps waiting, since the silence may end.
+        if (attempt->retryGranted || collectCandidates(*context, now()).empty())
+            continue;
+        attempt->verdict = Verdict::MayHaveRun;
+        if (!mayRetry(*context, *attempt))
+            continue;
+        attempt->retryGranted = true;
+        attempt->client->reset();
+    }
+}
+
+} // namespace chestnutsill
--- a/tests/peer/gossipmessagetest.cpp
+++ b/tests/peer/gossipmessagetest.cpp
@@ -25,6 +25,7 @@
     message.cacheUpdates.push_back({77, {{1, 100}, {2, 50}}, true});
     message.crashes.push_back({5, {6, 7}});
     message.cleared = {8};
+    message.silentUpstreams = {13};
     return message;
 }
 
@@ -58,6 +59,7 @@
     CHECK(read->cacheUpdates.at(0).prefilled);
     CHECK(read->crashes.at(0).fingerprints == std::vector<std::uint64_t>{6, 7});
     CHECK(read->cleared == std::vector<std::uint64_t>{8});
+    CHECK(read->silentUpstreams == std::vector<std::uint64_t>{13});
     GossipMessage without = sample();
     without.confirmedAge.reset();
     without.loads.reset();
