Log the shared prompt parts of requests whose connections break

With the ids of their shared parts in attempt-failed it can be seen whether the same part is in each crash.

--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -5,6 +5,7 @@
 #include "requestcontext.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace chestnutsill {
 
@@ -38,6 +39,16 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+/// Ids of the shared parts of a prompt, in hexadecimal, separated by commas.
+std::string sharedPartIds(const Prompt &prompt)
+{
+    std::ostringstream ids;
+    ids << std::hex;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+        ids << (i > 0 ? "," : "") << prompt.parts[i].id;
+    return ids.str();
+}
+
 /// Time until the deadline of the request, at least 1 ms.
 milliseconds remainingTime(const RequestContext &context)
 {
@@ -332,7 +343,9 @@
              {"status", static_cast<std::int64_t>(attempt.status)},
              {"reason", context.callerGone ? std::string("caller-gone") : attempt.reason},
              {"sentMs", attempt.sent ? toMs(time - attempt.sentAt) : 0.0},
-             {"upstreamSilentMs", toMs(attempt.upstreamSilence)}});
+             {"upstreamSilentMs", toMs(attempt.upstreamSilence)},
+             {"sharedParts",
+              attempt.connectionBroke ? sharedPartIds(context.request.prompt) : std::string()}});
     }
     if (context.callerGone)
         return;
