--- /dev/null
+++ b/tests/entry/crashingparttest.cpp
@@ -0,0 +1,91 @@
+#include "site.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnutsill;
+using support::callTo;
+using support::Site;
+using support::SiteCall;
+
+namespace {
+
+constexpr int Engines = 9;
+/// Crashes after which no further request with the part may reach an engine.
+constexpr int MaxCrashes = 5;
+
+/// A call with three prompt parts: a common one, `shared`, and one of its own.
+SiteCall promptCall(const std::string &shared, int number)
+{
+    const std::string own = std::to_string(number);
+    SiteCall call = callTo("/streamonce/stream/" + own, "", "body " + own);
+    call.fields = {{"X-Model", "m"},
+                   {"X-Token-Count", "400,20"},
+                   {"X-Prefix-Hash", "f1:100," + shared + ":200,a" + own + ":100"}};
+    return call;
+}
+
+int crashedEngines(Site &site)
+{
+    int crashed = 0;
+    for (int i = 0; i < Engines; ++i)
+        crashed += Site::stat(site.upstream("chat-" + std::to_string(i)), "started").is_null() ? 1 : 0;
+    return crashed;
+}
+
+void startSite(Site &site, int instances)
+{
+    for (int i = 0; i < Engines; ++i)
+        site.addUpstream("chat-" + std::to_string(i), "chat");
+    site.start(instances);
+}
+
+/// Sends requests that share the part that crashes engines, and sound ones with the same common part, in turn
+/// to all instances.
+void sendCrashingRequests(Site &site, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        (void)site.call(static_cast<std::size_t>(i) % site.instances().size(), promptCall("dead", i));
+        (void)site.call(static_cast<std::size_t>(i + 1) % site.instances().size(), promptCall("50d", i));
+    }
+}
+
+} // namespace
+
+TEST_CASE("crashing part: requests that share it are refused after few crashes, and sound ones are served")
+{
+    constexpr int Requests = 18;
+    Site site("crashing-part");
+    startSite(site, 3);
+    REQUIRE(site.waitReady());
+    sendCrashingRequests(site, Requests);
+    REQUIRE(crashedEngines(site) <= MaxCrashes);
+    for (std::size_t i = 0; i < 3; ++i) {
+        const auto refused = site.call(i, promptCall("dead", Requests + static_cast<int>(i)));
+        REQUIRE(refused);
+        CHECK(refused->head.status == 503);
+        CHECK_FALSE(refused->head.field("Retry-After").empty());
+        const auto served = site.call(i, promptCall("50d", Requests + static_cast<int>(i)));
+        REQUIRE(served);
+        CHECK(served->head.status == 200);
+    }
+}
+
+TEST_CASE("crashing part: an instance that starts later refuses it too")
+{
+    constexpr int Requests = 12;
+    Site site("crashing-part-restart");
+    startSite(site, 2);
+    REQUIRE(site.waitReady());
+    sendCrashingRequests(site, Requests);
+    const int crashed = crashedEngines(site);
+    REQUIRE(crashed <= MaxCrashes);
+    site.instances()[1].process->kill();
+    site.startInstance(1);
+    REQUIRE(support::waitUntil([&] {
+        const auto answer = site.call(1, callTo("/streamonce/stream/x", ""));
+        return answer && answer->head.status == 200;
+    }));
+    for (int i = 0; i < 4; ++i)
+        CHECK(site.call(1, promptCall("dead", Requests + i))->head.status == 503);
+    CHECK(crashedEngines(site) == crashed);
+}
--- a/tests/integration/faulttest.cpp
+++ b/tests/integration/faulttest.cpp
@@ -150,6 +150,35 @@
     otherRequests.stop();
 }
 
+TEST_CASE("crashing part: requests that share a message that crashes engines are refused after few crashes")
+{
+    constexpr int MaxCrashes = 5;
+    constexpr int Rounds = 14;
+    Cluster cluster("crashing-message");
+    configureWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    constexpr int Engines = 6;
+    for (int i = 0; i < Engines; ++i)
+        addEngine(cluster, "engine-" + std::to_string(i), i % 2 == 0 ? "za" : "zb", 8, 2,
+                  {"--fall-ms", "300"});
+    cluster.start(3);
+    REQUIRE(cluster.waitReady());
+    const auto chatAfter = [&](const std::string &first, int number) {
+        return chatWithHistory(cluster.instances()[static_cast<std::size_t>(number) % 3], first,
+                               "question " + std::to_string(number));
+    };
+    for (int round = 0; round < Rounds; ++round)
+        CHECK(chatAfter("crashes engines", round).status != 200);
+    std::int64_t falls = 0;
+    for (int i = 0; i < Engines; ++i)
+        falls += cluster.count("engine-" + std::to_string(i), "falls");
+    CHECK(falls <= MaxCrashes);
+    for (int instance = 0; instance < 3; ++instance) {
+        CHECK(chatAfter("crashes engines", Rounds + instance).verdict == "not-run");
+        CHECK(chatAfter("you are a sound assistant", Rounds + instance).status == 200);
+    }
+}
+
 TEST_CASE("shutdown: a leaving instance is no longer listed and completes all requests in progress")
 {
     Cluster cluster("shutdown");
--- a/tests/integration/scenario.cpp
+++ b/tests/integration/scenario.cpp
@@ -32,6 +32,15 @@
     return socket;
 }
 
+CallerResponse sendChat(const Instance &instance, const std::string &requestClass, const std::string &body,
+                        std::chrono::milliseconds timeout)
+{
+    const std::vector<HttpField> fields{{"chestnutsill-account", "one"},
+                                        {"chestnutsill-class", requestClass},
+                                        {"content-type", "application/json"}};
+    return toResponse(call(instance.address, "POST", "/v1/chat/completions", body, fields, timeout));
+}
+
 } // namespace
 
 void configureWorkload(Cluster &cluster)
@@ -73,11 +82,15 @@
 CallerResponse chat(const Instance &instance, const std::string &requestClass, const std::string &content,
                     const std::string &standin, bool stream, std::chrono::milliseconds timeout)
 {
-    const std::string body = chatBody(content, standin, stream);
-    const std::vector<HttpField> fields{{"chestnutsill-account", "one"},
-                                        {"chestnutsill-class", requestClass},
-                                        {"content-type", "application/json"}};
-    return toResponse(call(instance.address, "POST", "/v1/chat/completions", body, fields, timeout));
+    return sendChat(instance, requestClass, chatBody(content, standin, stream), timeout);
+}
+
+CallerResponse chatWithHistory(const Instance &instance, const std::string &first, const std::string &content)
+{
+    const std::string body = R"({"model":"m","messages":[{"role":"system","content":")" + first
+                             + R"("},{"role":"user","content":")" + content
+                             + R"("}],"standin":{"tokens":5}})";
+    return sendChat(instance, "chat", body, std::chrono::seconds(30));
 }
 
 void chatAndDisconnect(const Instance &instance, const std::string &requestClass, const std::string &standin,
--- a/tests/integration/scenario.h
+++ b/tests/integration/scenario.h
@@ -40,6 +40,10 @@
                                   const std::string &content, const std::string &standin, bool stream,
                                   std::chrono::milliseconds timeout = std::chrono::seconds(30));
 
+/// Sends a chat request whose last message, `content`, follows another one, `first`.
+[[nodiscard]] CallerResponse chatWithHistory(const Instance &instance, const std::string &first,
+                                             const std::string &content);
+
 /// Sends a chat request and closes the connection after the given time.
 void chatAndDisconnect(const Instance &instance, const std::string &requestClass, const std::string &standin,
                        bool stream, std::chrono::milliseconds after);
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -14,6 +14,22 @@
 namespace json = boost::json;
 using std::chrono::milliseconds;
 
+/// Whether any message but the last one has the content `crashes engines`.
+bool hasCrashingMessage(const json::object &body)
+{
+    const json::value *messages = body.if_contains("messages");
+    if (messages == nullptr || !messages->is_array())
+        return false;
+    const json::array &list = messages->get_array();
+    for (std::size_t i = 0; i + 1 < list.size(); ++i) {
+        const json::object *message = list[i].if_object();
+        const json::value *content = message != nullptr ? message->if_contains("content") : nullptr;
+        if (content != nullptr && content->is_string() && content->get_string() == "crashes engines")
+            return true;
+    }
+    return false;
+}
+
 /// Stand-in for a model engine, with a slot limit, a priority queue, a cold start, delayed load reports and
 /// counters. Options: listen, slots, first-token-ms, token-ms, cold-bear (concurrent requests that it
 /// survives at the beginning of its cold start; each completed request adds one), cold-requests (completed
@@ -195,8 +211,9 @@
             return;
         }
         const json::value *requestOptions = body.if_contains("standin");
-        if (requestOptions != nullptr && requestOptions->is_object()
-            && flag(requestOptions->get_object(), "kill")) {
+        const bool kills = requestOptions != nullptr && requestOptions->is_object()
+                           && flag(requestOptions->get_object(), "kill");
+        if (kills || hasCrashingMessage(body)) {
             sleepFor(milliseconds(m_firstTokenMs), fiber);
             crash();
             exchange.abort();
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -18,7 +18,8 @@
 /// fields `mode`, `events`, `eventMs` and `workMs`. Modes: ok; error (status 500); shed (rejects without
 /// executing); reset (executes, then resets the connection); mute (executes, then sends nothing); cut (breaks
 /// off a stream in the middle of an event); stray (sends a response to another request first). A request
-/// whose body contains `poison` ends the process. Options: listen, id.
+/// whose body contains `poison` ends the process, and so does, after the first event, a streaming request
+/// whose prompt has the shared part `dead`. Options: listen, id.
 class Replica
 {
 public:
@@ -102,6 +103,11 @@
 
     void stream(Exchange &exchange, const std::vector<HttpField> &fields, const Fiber &fiber)
     {
+        // A shared part is followed by another one.
+        const std::string parts = ',' + std::string(exchange.request().field("X-Prefix-Hash"));
+        const auto crashingPart = parts.find(",dead:");
+        const bool hasCrashingPart =
+            crashingPart != std::string::npos && parts.find(',', crashingPart + 1) != std::string::npos;
         const std::string &last = m_lastEventId;
         std::int64_t next = last.empty() ? 1 : std::stoll(last) + 1;
         std::vector<HttpField> all = fields;
@@ -118,6 +124,8 @@
                 return exchange.abort();
             }
             sleepFor(milliseconds(m_eventMs), fiber);
+            if (hasCrashingPart)
+                ::_exit(1);
         }
         exchange.endStream(fiber);
     }
