--- a/include/chestnutsill/chestnutsill.h
+++ b/include/chestnutsill/chestnutsill.h
@@ -11,6 +11,7 @@
 #include "chestnutsill/policy/coldstartlimiter.h"
 #include "chestnutsill/policy/configuration.h"
 #include "chestnutsill/policy/crashhistory.h"
+#include "chestnutsill/policy/crashingparts.h"
 #include "chestnutsill/policy/crashtracker.h"
 #include "chestnutsill/policy/deadlineestimator.h"
 #include "chestnutsill/policy/deduplicationtable.h"
--- a/include/chestnutsill/peer/gossipmessage.h
+++ b/include/chestnutsill/peer/gossipmessage.h
@@ -41,6 +41,7 @@
     Instant sentAt{};
     std::vector<HeartbeatEcho> echoes;
     std::vector<PrefixCacheUpdate> cacheUpdates;
+    /// Crashes with times by the sender's clock, no later than `sentAt`.
     std::vector<CrashNotice> crashes;
     std::vector<LivenessDigest> digests;
     /// Hashes of the names of instances that the sender has no status of and asks for.
@@ -51,6 +52,10 @@
     milliseconds followedFor{};
     /// Fingerprints of requests that were suspected of causing a crash and have since completed.
     std::vector<std::uint64_t> cleared;
+    /// Prompt parts that the sender refuses; see `CrashingParts`.
+    std::vector<PartBan> bans;
+    /// Prompt parts that were suspected of causing a crash and have since been served.
+    std::vector<std::uint64_t> servedParts;
     /// Hashes of the ids of upstreams that are silent for the sender; see `SilenceDetector`.
     std::vector<std::uint64_t> silentUpstreams;
 };
--- /dev/null
+++ b/include/chestnutsill/policy/crashingparts.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "chestnutsill/policy/instant.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace chestnutsill {
+
+/// A shared prompt part of a request that was in progress at a crash.
+struct SuspectPart
+{
+    std::uint64_t part = 0;
+    /// Number of shared parts that follow it in the prompt. The fewer, the more specific the part is.
+    std::uint8_t following = 0;
+};
+
+/// A part that is refused, as an instance reports it to its peers.
+struct PartBan
+{
+    std::uint64_t part = 0;
+    /// Failures that are attributed to the part.
+    int strikes = 0;
+    /// Time since the last of them.
+    milliseconds age{};
+};
+
+/// Finds the prompt parts that crash upstreams, in whatever requests they occur, and refuses them. Answers no
+/// load.
+///
+/// Each part of the requests in progress at a crash is suspected until a request with it is served. A part
+/// with `MaxStrikes` failures is banned. The failures that a banned part explains are held against no other
+/// part; of several parts with equally many, the most specific one is banned. A ban ends after a time that
+/// doubles with each further failure, and then lets single requests through. Memory use is bounded: the
+/// oldest crash is evicted first. Not thread-safe.
+class CrashingParts
+{
+public:
+    static constexpr int MaxStrikes = 3;
+    /// Crashes within this time of each other count as one failure, because upstreams that fail together
+    /// rather have a common cause than that each runs the same part at that moment.
+    static constexpr milliseconds SameFailure{100};
+    /// Duration of a ban with `MaxStrikes` failures.
+    static constexpr std::chrono::seconds FirstBan{30};
+    /// Time for which a crash is kept, and maximum duration of a ban.
+    static constexpr std::chrono::minutes Retention{10};
+    /// Maximum number of crashes kept.
+    static constexpr std::size_t MaxCrashes = 256;
+    /// Shared parts of one request that are considered, from the first one on.
+    static constexpr std::size_t MaxPartsPerRequest = 32;
+
+    /// Records the parts that were in progress at a crash, which happened at the instant `at`. A crash that
+    /// is reported repeatedly counts once.
+    void recordCrash(std::uint64_t crash, std::span<const SuspectPart> parts, Instant at, Instant now);
+
+    /// Records that a request with the part was served. Returns whether the part was suspected.
+    bool clear(std::uint64_t part, Instant now);
+
+    /// End of the ban of a part, which may be in the past; nothing if the part is not banned.
+    [[nodiscard]] std::optional<Instant> bannedUntil(std::uint64_t part, Instant now) const;
+
+    /// Number of failures of a banned part; 0 if it is not banned.
+    [[nodiscard]] int strikes(std::uint64_t part) const;
+
+    /// All bans, to report to peers.
+    [[nodiscard]] std::vector<PartBan> bans(Instant now) const;
+
+    /// Merges a ban that a peer reports, unless the part was served here after the failures.
+    void mergeBan(const PartBan &ban, Instant now);
+
+private:
+    struct Crash
+    {
+        std::uint64_t id = 0;
+        Instant at{};
+        /// Parts and how many shared parts follow each.
+        std::map<std::uint64_t, std::uint8_t> parts;
+        bool explained = false;
+    };
+
+    struct Ban
+    {
+        int strikes = 0;
+        Instant lastFailureAt{};
+    };
+
+    struct Suspicion
+    {
+        int strikes = 0;
+        std::uint8_t following = 0;
+        Instant lastFailureAt{};
+    };
+
+    void forgetExpired(Instant now);
+    void forgetCrash(const Crash &crash);
+    void updateBans();
+    void explainBy(std::uint64_t part);
+    [[nodiscard]] std::map<std::uint64_t, Suspicion> unexplainedSuspicions() const;
+
+    /// Crashes in order of time.
+    std::deque<Crash> m_crashes;
+    /// Number of kept crashes by part.
+    std::unordered_map<std::uint64_t, int> m_crashCounts;
+    std::map<std::uint64_t, Ban> m_bans;
+    /// When a suspected part was last served.
+    std::unordered_map<std::uint64_t, Instant> m_servedAt;
+};
+
+} // namespace chestnutsill
--- a/include/chestnutsill/policy/pool.h
+++ b/include/chestnutsill/policy/pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutsill/policy/crashhistory.h"
+#include "chestnutsill/policy/crashingparts.h"
 #include "chestnutsill/policy/fairqueue.h"
 #include "chestnutsill/policy/pooltypes.h"
 
@@ -88,12 +89,14 @@
     bool mayGrantCold = false;
 };
 
-/// A suspected crash: the fingerprints that were running on the upstream when it failed.
+/// A suspected crash: the fingerprints that were running on the upstream when it failed, as the home of its
+/// pool reports them, or the shared prompt parts of a request whose run broke, as its holder does.
 struct CrashReport
 {
     std::string upstream;
     std::string incarnation;
     std::vector<std::uint64_t> fingerprints;
+    std::vector<SuspectPart> parts;
 };
 
 /// Longest time that a holder may use a grant; the run must have ended by then.
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -107,6 +107,9 @@
                        const Fiber &fiber);
     void relayEventStream(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
                           const Fiber &fiber);
+    /// Whether a part of the prompt is banned because it crashes upstreams; sets when to send the request
+    /// again.
+    [[nodiscard]] bool hasBannedPart(RequestContext &context) const;
     [[nodiscard]] bool mayRetry(RequestContext &context, const UpstreamAttempt &attempt);
     [[nodiscard]] bool mayStart(const RequestContext &context, const UpstreamAttempt &attempt) const;
     /// Lets the deadline estimator learn from an attempt that has ended.
--- a/src/daemon/pipeline.cpp
+++ b/src/daemon/pipeline.cpp
@@ -13,6 +13,7 @@
 constexpr int MaxAttempts = 6;
 constexpr milliseconds ForwardMargin{1000};
 constexpr milliseconds RetryPause{50};
+constexpr int FirstClientError = 400;
 
 milliseconds pauseBeforeRetry(RunOutcome outcome)
 {
@@ -227,6 +228,13 @@
     int crashes = 0;
     bool mayHaveRun = false;
     for (int attempts = 0; attempts < MaxAttempts; ++attempts) {
+        if (m_dependencies.crashHistory.hasBannedPart(call.sharedParts)) {
+            if (mayHaveRun)
+                break;
+            return refusal(statusOf(RefusalReason::Quarantined), Verdict::NotRun,
+                           toString(RefusalReason::Quarantined), "messages",
+                           "engines crashed repeatedly while they ran chats with one of these messages");
+        }
         demand.request.strikes = std::max(m_dependencies.crashHistory.strikes(call.fingerprint), crashes);
         const auto acquired = m_dependencies.slots.acquire(demand, call.isAbandoned, fiber);
         if (const auto *reason = std::get_if<RefusalReason>(&acquired)) {
@@ -241,10 +249,16 @@
             held, {held.grant.ticket, last.outcome, last.incarnationSeen, last.firstToken});
         if (last.verdict == Verdict::Answered) {
             m_dependencies.crashHistory.recordLocalCompletion(call.fingerprint);
+            if (last.status < FirstClientError)
+                m_dependencies.crashHistory.recordPartsServed(call.sharedParts);
             return {last.status, Verdict::Answered, {}, {}, {}};
         }
         mayHaveRun = mayHaveRun || last.verdict == Verdict::MayHaveRun;
-        crashes += last.outcome == RunOutcome::Broken ? 1 : 0;
+        if (last.outcome == RunOutcome::Broken) {
+            ++crashes;
+            m_dependencies.crashHistory.recordBrokenRun(held.grant.upstream, held.grant.incarnation,
+                                                        call.sharedParts);
+        }
         if (last.verdict == Verdict::MayHaveRun)
             demand.request.avoid.push_back(held.grant.upstream);
         if (!mayRetry(call, last))
--- a/src/daemon/pipelinecall.cpp
+++ b/src/daemon/pipelinecall.cpp
@@ -1,6 +1,8 @@
 #include "daemon/pipelinecall.h"
 
 #include "chestnutsill/policy/crashhistory.h"
+#include "chestnutsill/policy/crashingparts.h"
+#include "chestnutsill/policy/hash.h"
 
 #include <boost/json.hpp>
 
@@ -44,6 +46,20 @@
     return {value->get_string().data(), value->get_string().size()};
 }
 
+/// Hashes of the model and of each message but the last one.
+std::vector<std::uint64_t> sharedMessages(const json::object &body)
+{
+    std::vector<std::uint64_t> hashes;
+    const json::value *messages = body.if_contains("messages");
+    if (messages == nullptr || !messages->is_array())
+        return hashes;
+    const std::uint64_t model = stableHash(textOf(body, "model"));
+    const json::array &list = messages->get_array();
+    for (std::size_t i = 0; i + 1 < list.size() && i < CrashingParts::MaxPartsPerRequest; ++i)
+        hashes.push_back(stableHash(json::serialize(list[i]), model));
+    return hashes;
+}
+
 /// Reads the caller's deadline header, if present. Returns an answer if it is malformed or not positive.
 std::optional<Answer> readDeadline(PipelineCall &call, const HttpRequest &request)
 {
@@ -119,6 +135,7 @@
             return refuse(call, 400, "malformed-body", "body", "the body must be a JSON object");
         if (call.requestClass == nullptr)
             call.requestClass = classOfModel(*call.configuration, textOf(body.get_object(), "model"));
+        call.sharedParts = sharedMessages(body.get_object());
         const json::value *stream = body.get_object().if_contains("stream");
         call.stream = stream != nullptr && stream->is_bool() && stream->get_bool();
     }
--- a/src/daemon/pipelinecall.h
+++ b/src/daemon/pipelinecall.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace chestnutsill {
 
@@ -34,6 +35,8 @@
     const RequestClass *requestClass = nullptr;
     bool stream = false;
     std::uint64_t fingerprint = 0;
+    /// Hashes of the model and each message of a chat but the last one, which other chats may share.
+    std::vector<std::uint64_t> sharedParts;
     /// Latest instant at which starting the run is still useful, and instant by which the run must have
     /// ended.
     Instant startBy{};
--- a/src/daemon/statetext.cpp
+++ b/src/daemon/statetext.cpp
@@ -63,6 +63,9 @@
     for (const auto &[route, model] : state.deadlineEstimator.models())
         deadlineModels[route] = {{"firstTokenRatio", model.firstTokenRatio},
                                  {"streamMs", model.streamTime.count()}};
+    json::array bannedParts;
+    for (const PartBan &ban : state.crashTracker.parts().bans(now))
+        bannedParts.push_back({{"strikes", ban.strikes}, {"ageMs", ban.age.count()}});
     json::array zones;
     for (const std::string &zone : state.catalog.zonesOutOfService())
         zones.emplace_back(zone);
@@ -71,6 +74,7 @@
                           {"instances", std::move(instances)},           {"upstreams", std::move(upstreams)}};
     document["prefillTokensPerMs"] = std::move(prefillRates);
     document["deadlineModels"] = std::move(deadlineModels);
+    document["bannedParts"] = std::move(bannedParts);
     document["configAgeMs"] = age ? json::value(toMs(*age)) : json::value(nullptr);
     return json::serialize(document) + '\n';
 }
--- a/src/daemon/udpgossip.cpp
+++ b/src/daemon/udpgossip.cpp
@@ -76,10 +76,16 @@
         m_state.loadTable.mergeLoads(message.self.name, *message.loads, time);
     for (const PrefixCacheUpdate &update : message.cacheUpdates)
         m_state.prefixCacheIndex.mergeUpdate(update, m_isHub);
-    for (const CrashNotice &notice : message.crashes)
+    for (CrashNotice notice : message.crashes) {
+        notice.at = time - (message.sentAt - notice.at);
         m_state.crashTracker.mergeNotice(notice, time, m_isHub);
+    }
     for (const std::uint64_t fingerprint : message.cleared)
         m_state.crashTracker.mergeCleared(fingerprint, m_isHub);
+    for (const std::uint64_t part : message.servedParts)
+        m_state.crashTracker.mergeServedPart(part, time, m_isHub);
+    for (const PartBan &ban : message.bans)
+        m_state.crashTracker.parts().mergeBan(ban, time);
     recordSilentUpstreams(message.silentUpstreams, time);
     m_lastHeartbeats[message.self.peerAddress] = {message.self.incarnation, message.sentAt, time};
     const auto &table = m_state.catalog.table();
@@ -120,6 +126,7 @@
     reply.others = m_state.membership.statusesToSend(time, m_round);
     reply.others.insert(reply.others.end(), requested.begin(), requested.end());
     reply.digests = m_state.membership.digestsToSend(time);
+    reply.bans = m_state.crashTracker.parts().bans(time);
     reply.sentAt = time;
     send(std::move(reply), message.self.peerAddress, time);
 }
@@ -149,6 +156,8 @@
     message.cacheUpdates = m_state.prefixCacheIndex.takeUpdates();
     message.crashes = m_state.crashTracker.takeNotices();
     message.cleared = m_state.crashTracker.takeCleared();
+    message.bans = m_state.crashTracker.parts().bans(time);
+    message.servedParts = m_state.crashTracker.takeServedParts();
     for (const std::string_view upstream : m_state.silenceDetector.silentUpstreams()) {
         if (message.silentUpstreams.size() < MaxSilentUpstreams)
             message.silentUpstreams.push_back(stableHash(upstream));
--- a/src/peer/convert.cpp
+++ b/src/peer/convert.cpp
@@ -217,13 +217,20 @@
     auto fingerprints = out.initFingerprints(static_cast<unsigned>(value.fingerprints.size()));
     for (unsigned i = 0; i < fingerprints.size(); ++i)
         fingerprints.set(i, value.fingerprints[i]);
+    auto parts = out.initParts(static_cast<unsigned>(value.parts.size()));
+    for (unsigned i = 0; i < parts.size(); ++i) {
+        parts[i].setPart(value.parts[i].part);
+        parts[i].setFollowing(value.parts[i].following);
+    }
 }
 
 CrashReport read(wire::CrashReport::Reader in)
 {
-    CrashReport value{toText(in.getUpstream()), toText(in.getIncarnation()), {}};
+    CrashReport value{toText(in.getUpstream()), toText(in.getIncarnation()), {}, {}};
     for (const std::uint64_t fingerprint : in.getFingerprints())
         value.fingerprints.push_back(fingerprint);
+    for (const auto suspect : in.getParts())
+        value.parts.push_back({suspect.getPart(), suspect.getFollowing()});
     return value;
 }
 
--- a/src/peer/fleet.capnp
+++ b/src/peer/fleet.capnp
@@ -42,6 +42,24 @@
   # Hash of the incarnation that crashed.
   incarnation @0 :UInt64;
   fingerprints @1 :List(UInt64);
+  parts @2 :List(SuspectPart);
+  # Milliseconds since the crash was noticed.
+  ageMs @3 :UInt32;
+}
+
+# A shared prompt part of a request that was in progress at a crash.
+struct SuspectPart {
+  part @0 :UInt64;
+  # Number of shared parts that follow it in the prompt.
+  following @1 :UInt8;
+}
+
+# A prompt part that is refused because it crashes upstreams.
+struct PartBan {
+  part @0 :UInt64;
+  # Failures that are attributed to it, and milliseconds since the last one.
+  strikes @1 :UInt16;
+  ageMs @2 :UInt32;
 }
 
 struct Echo {
@@ -82,4 +100,7 @@
   followedMs @14 :UInt32;
   # Hashes of the ids of upstreams that answer neither requests nor health checks of the sender.
   silent @15 :List(UInt64);
+  bans @16 :List(PartBan);
+  # Prompt parts that were suspected of crashing upstreams and have since been served.
+  servedParts @17 :List(UInt64);
 }
--- a/src/peer/gossipmessage.cpp
+++ b/src/peer/gossipmessage.cpp
@@ -144,7 +144,22 @@
         crashes[i].setIncarnation(gossip.crashes[i].incarnation);
         const auto &fingerprints = gossip.crashes[i].fingerprints;
         crashes[i].setFingerprints({fingerprints.data(), fingerprints.size()});
+        crashes[i].setAgeMs(clampTo<std::uint32_t>(
+            std::chrono::duration_cast<milliseconds>(gossip.sentAt - gossip.crashes[i].at).count()));
+        const auto &suspects = gossip.crashes[i].parts;
+        auto parts = crashes[i].initParts(static_cast<unsigned>(suspects.size()));
+        for (unsigned j = 0; j < parts.size(); ++j) {
+            parts[j].setPart(suspects[j].part);
+            parts[j].setFollowing(suspects[j].following);
+        }
+    }
+    auto bans = root.initBans(static_cast<unsigned>(gossip.bans.size()));
+    for (unsigned i = 0; i < bans.size(); ++i) {
+        bans[i].setPart(gossip.bans[i].part);
+        bans[i].setStrikes(clampTo<std::uint16_t>(gossip.bans[i].strikes));
+        bans[i].setAgeMs(clampTo<std::uint32_t>(gossip.bans[i].age.count()));
     }
+    root.setServedParts({gossip.servedParts.data(), gossip.servedParts.size()});
     root.setCleared({gossip.cleared.data(), gossip.cleared.size()});
     root.setSilent({gossip.silentUpstreams.data(), gossip.silentUpstreams.size()});
     return impl::toBytes(message);
@@ -175,8 +190,16 @@
         for (const auto update : root.getCopies())
             gossip.cacheUpdates.push_back(read(update));
         for (const auto crash : root.getCrashes()) {
-            gossip.crashes.push_back({crash.getIncarnation(), toNumbers(crash.getFingerprints())});
+            gossip.crashes.push_back({crash.getIncarnation(),
+                                      toNumbers(crash.getFingerprints()),
+                                      {},
+                                      gossip.sentAt - milliseconds(crash.getAgeMs())});
+            for (const auto suspect : crash.getParts())
+                gossip.crashes.back().parts.push_back({suspect.getPart(), suspect.getFollowing()});
         }
+        for (const auto ban : root.getBans())
+            gossip.bans.push_back({ban.getPart(), ban.getStrikes(), milliseconds(ban.getAgeMs())});
+        gossip.servedParts = toNumbers(root.getServedParts());
         gossip.cleared = toNumbers(root.getCleared());
         gossip.silentUpstreams = toNumbers(root.getSilent());
     });
--- a/src/peer/impl/fleet.capnp.h
+++ b/src/peer/impl/fleet.capnp.h
@@ -21,6 +21,8 @@
 CAPNP_DECLARE_SCHEMA(b59b3760a7671e01);
 CAPNP_DECLARE_SCHEMA(8322df74489ebdbb);
 CAPNP_DECLARE_SCHEMA(ba60f1077f8ad328);
+CAPNP_DECLARE_SCHEMA(c4329d321dc996e8);
+CAPNP_DECLARE_SCHEMA(aaa74bc723b6f518);
 CAPNP_DECLARE_SCHEMA(e92942e2dd89a25b);
 CAPNP_DECLARE_SCHEMA(81ae289e0deadabe);
 
@@ -98,7 +100,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba60f1077f8ad328, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ba60f1077f8ad328, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectPart {
+  SuspectPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c4329d321dc996e8, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartBan {
+  PartBan() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aaa74bc723b6f518, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 5, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 5, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -548,6 +580,11 @@
   inline bool hasFingerprints() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getFingerprints() const;
 
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -587,6 +624,16 @@
   inline void adoptFingerprints(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownFingerprints();
 
+  inline bool hasParts();
+  inline  ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>> disownParts();
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -613,6 +660,173 @@
 };
 #endif  // !CAPNP_LITE
 
+class SuspectPart::Reader {
+public:
+  typedef SuspectPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint8_t getFollowing() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SuspectPart::Builder {
+public:
+  typedef SuspectPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint8_t getFollowing();
+  inline void setFollowing( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SuspectPart::Pipeline {
+public:
+  typedef SuspectPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PartBan::Reader {
+public:
+  typedef PartBan Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint16_t getStrikes() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartBan::Builder {
+public:
+  typedef PartBan Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint16_t getStrikes();
+  inline void setStrikes( ::uint16_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartBan::Pipeline {
+public:
+  typedef PartBan Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Echo::Reader {
 public:
   typedef Echo Reads;
@@ -758,6 +972,12 @@
   inline bool hasSilent() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSilent() const;
 
+  inline bool hasBans() const;
+  inline  ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>::Reader getBans() const;
+
+  inline bool hasServedParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getServedParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -878,6 +1098,21 @@
   inline void adoptSilent(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSilent();
 
+  inline bool hasBans();
+  inline  ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>::Builder getBans();
+  inline void setBans( ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>::Builder initBans(unsigned int size);
+  inline void adoptBans(::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>> disownBans();
+
+  inline bool hasServedParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getServedParts();
+  inline void setServedParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setServedParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initServedParts(unsigned int size);
+  inline void adoptServedParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownServedParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1283,6 +1518,124 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool CrashNews::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashNews::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader CrashNews::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder CrashNews::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashNews::Builder::setParts( ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder CrashNews::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashNews::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>> CrashNews::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CrashNews::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashNews::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashNews::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SuspectPart::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SuspectPart::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t SuspectPart::Reader::getFollowing() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t SuspectPart::Builder::getFollowing() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setFollowing( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PartBan::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PartBan::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PartBan::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t PartBan::Reader::getStrikes() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t PartBan::Builder::getStrikes() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PartBan::Builder::setStrikes( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartBan::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartBan::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PartBan::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Echo::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1770,6 +2123,78 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool FleetBeat::Reader::hasBans() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasBans() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>::Reader FleetBeat::Reader::getBans() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>::Builder FleetBeat::Builder::getBans() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::setBans( ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>::Builder FleetBeat::Builder::initBans(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void FleetBeat::Builder::adoptBans(
+    ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>> FleetBeat::Builder::disownBans() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::PartBan,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool FleetBeat::Reader::hasServedParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasServedParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FleetBeat::Reader::getServedParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetBeat::Builder::getServedParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::setServedParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline void FleetBeat::Builder::setServedParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetBeat::Builder::initServedParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void FleetBeat::Builder::adoptServedParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FleetBeat::Builder::disownServedParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/peer/impl/peer.capnp.h
+++ b/src/peer/impl/peer.capnp.h
@@ -31,6 +31,7 @@
 CAPNP_DECLARE_SCHEMA(9b0b0f36a5eca5b3);
 CAPNP_DECLARE_SCHEMA(f12b7acba9026958);
 CAPNP_DECLARE_SCHEMA(b2f188b2bb561737);
+CAPNP_DECLARE_SCHEMA(c06dc7b96cc5c2ac);
 CAPNP_DECLARE_SCHEMA(d64e0ffc93ee4307);
 CAPNP_DECLARE_SCHEMA(f3bb441a5d1a1771);
 CAPNP_DECLARE_SCHEMA(e551ff001a33e2ca);
@@ -242,6 +243,21 @@
   };
 };
 
+struct CrashPart {
+  CrashPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c06dc7b96cc5c2ac, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CrashReport {
   CrashReport() = delete;
 
@@ -250,7 +266,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d64e0ffc93ee4307, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d64e0ffc93ee4307, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1831,6 +1847,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashPart::Reader {
+public:
+  typedef CrashPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint8_t getFollowing() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashPart::Builder {
+public:
+  typedef CrashPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint8_t getFollowing();
+  inline void setFollowing( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashPart::Pipeline {
+public:
+  typedef CrashPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CrashReport::Reader {
 public:
   typedef CrashReport Reads;
@@ -1857,6 +1954,9 @@
   inline bool hasFingerprints() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getFingerprints() const;
 
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1907,6 +2007,13 @@
   inline void adoptFingerprints(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownFingerprints();
 
+  inline bool hasParts();
+  inline  ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>> disownParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4766,6 +4873,34 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CrashPart::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashPart::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashPart::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t CrashPart::Reader::getFollowing() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t CrashPart::Builder::getFollowing() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void CrashPart::Builder::setFollowing( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashReport::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4872,6 +5007,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool CrashReport::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setParts( ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::CrashPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -102,10 +102,18 @@
   reason @4 :Text;
 }
 
+# A shared prompt part of a request that was in progress at a crash.
+struct CrashPart {
+  part @0 :UInt64;
+  # Number of shared parts that follow it in the prompt.
+  following @1 :UInt8;
+}
+
 struct CrashReport {
   upstream @0 :Text;
   incarnation @1 :Text;
   fingerprints @2 :List(UInt64);
+  parts @3 :List(CrashPart);
 }
 
 interface Peer {
--- a/src/policy/upstreams.cpp
+++ b/src/policy/upstreams.cpp
@@ -91,7 +91,7 @@
 
 CrashReport crashReportOf(const UpstreamState &upstream, const std::string &incarnation)
 {
-    CrashReport crash{upstream.spec.name, incarnation, {}};
+    CrashReport crash{upstream.spec.name, incarnation, {}, {}};
     for (const auto &[ticket, slot] : upstream.slots) {
         if (slot.incarnation == incarnation)
             crash.fingerprints.push_back(slot.fingerprint);
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -31,6 +31,9 @@
 constexpr int MaxProbes = 3;
 /// A caller may close its connection this much before the deadline that this instance has reckoned.
 constexpr milliseconds CallerCloseTolerance{100};
+/// Time after the first token of a stream after which its prompt is taken not to crash upstreams, which do so
+/// when they begin to answer.
+constexpr milliseconds MinSurvivalTime{2000};
 constexpr int FirstServerError = 500;
 constexpr int StatusOk = 200;
 
@@ -90,6 +93,15 @@
     return false;
 }
 
+/// Whether the upstream has survived the prompt of an attempt: it sent the whole response, or went on for
+/// long after its first token.
+bool provesPartsSound(const UpstreamAttempt &attempt, Instant time)
+{
+    if (attempt.firstTokenAt == Instant{} || attempt.connectionBroke)
+        return false;
+    return attempt.verdict == Verdict::Answered || time - attempt.firstTokenAt >= MinSurvivalTime;
+}
+
 void recordFailure(UpstreamAttempt &attempt, AttemptResult result, std::string reason)
 {
     attempt.connectionBroke =
@@ -335,6 +347,8 @@
     if (attempt.sent && attempt.verdict == Verdict::NotRun)
         --context.possibleRuns;
     recordTimes(context, attempt);
+    if (provesPartsSound(attempt, time))
+        m_state.crashTracker.recordPartsServed(context.sharedParts, time);
     if (attempt.result != AttemptResult::Served) {
         log(LogLevel::Info, "attempt-failed",
             {{"requestId", context.request.attemptId},
@@ -368,11 +382,13 @@
         m_state.silenceDetector.suspect(upstream, time);
         return;
     }
+    // After a long silence it is unknown when the process ended, and usually many ended together.
+    const bool wasHeard = m_state.silenceDetector.silence(upstream, time) <= CrashTracker::AttributionWindow;
     m_state.catalog.suspectRestart(upstream, time);
     m_state.prefixCacheIndex.forget(upstream);
     const UpstreamRecord *record = m_state.catalog.find(upstream);
     const std::string incarnation = std::to_string(record != nullptr ? record->entry.startUnixMs : 0);
-    const std::size_t running = m_state.crashTracker.recordCrash(upstream, incarnation, time);
+    const std::size_t running = m_state.crashTracker.recordCrash(upstream, incarnation, time, wasHeard);
     if (running == 0)
         return;
     log(LogLevel::Warning, "upstream-crashed",
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -63,6 +63,8 @@
     std::string serviceName;
     /// Hash of the request's content and account, equal for all attempt ids of the same request.
     std::uint64_t fingerprint = 0;
+    /// Hashes of the service and each shared part of the prompt, in order.
+    std::vector<std::uint64_t> sharedParts;
     Instant arrivedAt{};
     /// When the timeout of the caller or of the route ends, whichever is earlier.
     Instant deadline{};
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -20,15 +20,35 @@
 constexpr std::size_t MaxTriedUpstreams = 16;
 /// Retry-After time sent with 503 refusals, whose causes usually pass quickly.
 constexpr milliseconds RetryAfterDelay{250};
+/// Minimum Retry-After time sent for a prompt part that crashes upstreams.
+constexpr milliseconds MinBanRetryAfter{1000};
 /// Timers may fire this much before the deadline for which they were set.
 constexpr milliseconds DeadlineTolerance{5};
 
+/// Keys of the shared parts of a prompt. They differ by service, because a part may crash one model only.
+std::vector<std::uint64_t> sharedPartsOf(const Prompt &prompt, std::string_view service)
+{
+    std::vector<std::uint64_t> parts;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size() && i < CrashingParts::MaxPartsPerRequest; ++i)
+        parts.push_back(stableHash(service, prompt.parts[i].id));
+    return parts;
+}
+
 /// Whether the request may run more than once.
 bool isIdempotent(const Route &route)
 {
     return route.kind == RouteKind::Idempotent || (route.kind == RouteKind::Streaming && route.resumable);
 }
 
+/// Whether this instance ranks first for a key among all live instances, by rendezvous hash.
+bool ranksFirst(std::string_view own, std::uint64_t key, std::span<const InstanceStatus> others)
+{
+    const std::uint64_t rank = stableHash(own, key);
+    return std::all_of(others.begin(), others.end(), [&](const InstanceStatus &other) {
+        return other.name == own || stableHash(other.name, key) < rank;
+    });
+}
+
 } // namespace
 
 Router::Router(RouterSettings settings, ProtocolAdapter protocol, RouterState &state)
@@ -125,12 +145,17 @@
     m_state.retryBudget.recordRequest(context.serviceName, now());
     context.fingerprint = fingerprintOf(context.account != nullptr ? context.account->name : std::string(),
                                         context.request.target + '\n' + context.request.body);
+    context.sharedParts = sharedPartsOf(context.request.prompt, context.serviceName);
     for (;;) {
-        if (m_state.crashTracker.strikes(context.fingerprint, now()) >= CrashTracker::MaxStrikes) {
+        if (m_state.crashTracker.strikes(context.fingerprint, now()) >= CrashTracker::MaxStrikes
+            || hasBannedPart(context)) {
             if (context.possibleRuns > 0)
-                return refusal(502, Verdict::MayHaveRun, "suspected-crash", "upstream",
-                               "upstreams crashed repeatedly while running this request");
-            return refuseNotRun("suspected-crash", "upstreams crashed repeatedly while running this request");
+                return refusal(
+                    502, Verdict::MayHaveRun, "suspected-crash", "upstream",
+                    "upstreams crashed repeatedly while running this request or a part of its prompt");
+            return refuseNotRun(
+                "suspected-crash",
+                "upstreams crashed repeatedly while running this request or a part of its prompt");
         }
         UpstreamAttempt attempt;
         if (auto refused = chooseUpstream(context, attempt)) {
@@ -146,7 +171,7 @@
         if (hasPromptParts && context.service != nullptr && context.service->engine)
             m_state.prefixCacheIndex.recordSend(attempt.upstream, context.request.prompt,
                                                 context.service->engine->cacheTokens);
-        m_state.crashTracker.recordStart(attempt.upstream, context.fingerprint);
+        m_state.crashTracker.recordStart(attempt.upstream, context.fingerprint, context.sharedParts);
         send(context, attempt, fiber);
         finishAttempt(context, attempt, fiber);
         if (context.callerGone)
@@ -165,6 +190,25 @@
     }
 }
 
+bool Router::hasBannedPart(RequestContext &context) const
+{
+    const Instant time = now();
+    const CrashTracker &tracker = m_state.crashTracker;
+    for (const std::uint64_t part : context.sharedParts) {
+        const auto until = tracker.parts().bannedUntil(part, time);
+        if (!until)
+            continue;
+        // Once the ban has ended, one instance at a time lets one request through.
+        if (time >= *until && ranksFirst(m_settings.instance, part, m_state.membership.alive(time))
+            && !tracker.isInProgress(part))
+            continue;
+        context.retryAfter =
+            std::max(std::chrono::duration_cast<milliseconds>(*until - time), MinBanRetryAfter);
+        return true;
+    }
+    return false;
+}
+
 bool Router::mayRetry(RequestContext &context, const UpstreamAttempt &attempt)
 {
     if (context.callerGone || now() >= context.deadline || context.triedUpstreams.size() >= MaxTriedUpstreams
--- a/tests/entry/crashingparttest.cpp
+++ b/tests/entry/crashingparttest.cpp
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <future>
+#include <thread>
+
 using namespace chestnutsill;
 using support::callTo;
 using support::Site;
@@ -34,8 +38,11 @@
 
 void startSite(Site &site, int instances)
 {
-    for (int i = 0; i < Engines; ++i)
-        site.addUpstream("chat-" + std::to_string(i), "chat");
+    for (int i = 0; i < Engines; ++i) {
+        const auto &engine = site.addUpstream("chat-" + std::to_string(i), "chat");
+        // Crashes lie further apart than those that count as one failure.
+        Site::commandUpstream(engine, R"({"events":3,"eventMs":120})");
+    }
     site.start(instances);
 }
 
@@ -82,10 +89,60 @@
     site.instances()[1].process->kill();
     site.startInstance(1);
     REQUIRE(support::waitUntil([&] {
-        const auto answer = site.call(1, callTo("/streamonce/stream/x", ""));
-        return answer && answer->head.status == 200;
+        const boost::json::object state = site.state(1);
+        return state.contains("bannedParts") && state.at("bannedParts").as_array().size() == 1;
     }));
-    for (int i = 0; i < 4; ++i)
-        CHECK(site.call(1, promptCall("dead", Requests + i))->head.status == 503);
+    for (int i = 0; i < 4; ++i) {
+        const auto refused = site.call(1, promptCall("dead", Requests + i));
+        REQUIRE(refused);
+        CHECK(refused->head.status == 503);
+    }
     CHECK(crashedEngines(site) == crashed);
 }
+
+TEST_CASE("crashing part: with many callers and engines that return, sound requests beside it are served")
+{
+    constexpr int Callers = 3;
+    constexpr int CrashingCalls = 12;
+    constexpr int SoundCalls = 40;
+    Site site("crashing-part-load");
+    startSite(site, 3);
+    REQUIRE(site.waitReady());
+    std::atomic<int> served = 0;
+    std::atomic<int> callersLeft = 2 * Callers;
+    std::vector<std::future<void>> callers;
+    const auto callRepeatedly = [&](const std::string &shared, const std::string &name, int caller,
+                                    int count) {
+        for (int i = 0; i < count; ++i) {
+            SiteCall call = promptCall(shared, caller * count + i);
+            call.attemptId = name + std::to_string(caller * count + i);
+            const auto answer = site.call(static_cast<std::size_t>(i + caller) % 3, call);
+            served += shared != "dead" && answer && answer->head.status == 200 ? 1 : 0;
+        }
+        --callersLeft;
+    };
+    for (int caller = 0; caller < Callers; ++caller) {
+        callers.push_back(
+            std::async(std::launch::async, callRepeatedly, "dead", "crashing", caller, CrashingCalls));
+        callers.push_back(std::async(std::launch::async, callRepeatedly, "50d", "sound", caller, SoundCalls));
+    }
+    int crashes = 0;
+    const auto restartEngines = [&] {
+        for (int i = 0; i < Engines; ++i) {
+            auto &engine = site.upstream("chat-" + std::to_string(i));
+            if (!Site::stat(engine, "started").is_null())
+                continue;
+            ++crashes;
+            site.startUpstream(engine);
+        }
+    };
+    while (callersLeft > 0) {
+        restartEngines();
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    callers.clear();
+    restartEngines();
+    CHECK(crashes > 0);
+    CHECK(crashes <= MaxCrashes);
+    CHECK(served * 2 >= Callers * SoundCalls);
+}
--- a/tests/entry/hostilebytestest.cpp
+++ b/tests/entry/hostilebytestest.cpp
@@ -103,6 +103,22 @@
     CHECK_FALSE(site.call(0, callTo("/stream/x", "m1")).has_value());
 }
 
+TEST_CASE("bytes: an answer that ends with its connection is passed on whole")
+{
+    Site stream("ends-stream");
+    const RawServer events({StreamHead + "\r\n", "id: 1\ndata: a\n\n", 2});
+    startWith(stream, events, "chat");
+    const auto streamed = stream.call(0, callTo("/stream/x", "e1"));
+    REQUIRE(streamed);
+    CHECK(streamed->body == "id: 1\ndata: a\n\nid: 1\ndata: a\n\n");
+    Site plain("ends-plain");
+    const RawServer text({"HTTP/1.1 200 OK\r\nX-Attempt-Id: e2\r\n\r\n", "whole", 2});
+    startWith(plain, text, "desk");
+    const auto answer = plain.call(0, callTo("/plain/x", "e2"));
+    REQUIRE(answer);
+    CHECK(answer->body == "wholewhole");
+}
+
 TEST_CASE("bytes: a stream that sends an event now and then is passed on until its end")
 {
     Site site("slow");
--- a/tests/peer/gossipmessagetest.cpp
+++ b/tests/peer/gossipmessagetest.cpp
@@ -23,7 +23,9 @@
     message.sentAt = seconds(4);
     message.echoes.push_back({12, seconds(3), milliseconds(20)});
     message.cacheUpdates.push_back({77, {{1, 100}, {2, 50}}, true});
-    message.crashes.push_back({5, {6, 7}});
+    message.crashes.push_back({5, {6, 7}, {{14, 1}, {15, 0}}, message.sentAt - milliseconds(70)});
+    message.bans.push_back({16, 3, milliseconds(4500)});
+    message.servedParts = {17};
     message.cleared = {8};
     message.silentUpstreams = {13};
     return message;
@@ -58,6 +60,15 @@
     CHECK(read->cacheUpdates.at(0).parts.at(1).tokens == 50);
     CHECK(read->cacheUpdates.at(0).prefilled);
     CHECK(read->crashes.at(0).fingerprints == std::vector<std::uint64_t>{6, 7});
+    REQUIRE(read->crashes.at(0).parts.size() == 2);
+    CHECK(read->crashes.at(0).parts[0].part == 14);
+    CHECK(read->crashes.at(0).parts[0].following == 1);
+    CHECK(read->crashes[0].at == read->sentAt - milliseconds(70));
+    REQUIRE(read->bans.size() == 1);
+    CHECK(read->bans[0].part == 16);
+    CHECK(read->bans[0].strikes == 3);
+    CHECK(read->bans[0].age == milliseconds(4500));
+    CHECK(read->servedParts == std::vector<std::uint64_t>{17});
     CHECK(read->cleared == std::vector<std::uint64_t>{8});
     CHECK(read->silentUpstreams == std::vector<std::uint64_t>{13});
     GossipMessage without = sample();
