--- a/include/chestnutsill/policy/crashingparts.h
+++ b/include/chestnutsill/policy/crashingparts.h
@@ -65,9 +65,6 @@
     /// End of the ban of a part, which may be in the past; nothing if the part is not banned.
     [[nodiscard]] std::optional<Instant> bannedUntil(std::uint64_t part, Instant now) const;
 
-    /// Number of failures of a banned part; 0 if it is not banned.
-    [[nodiscard]] int strikes(std::uint64_t part) const;
-
     /// All bans, to report to peers.
     [[nodiscard]] std::vector<PartBan> bans(Instant now) const;
 
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -140,12 +140,13 @@
     RouterState &m_state;
     /// Upstreams with a probe in progress.
     std::set<std::string, std::less<>> m_probedUpstreams;
+    /// An attempt whose request was sent and that has not ended.
     struct AttemptInProgress
     {
         RequestContext *context;
         UpstreamAttempt *attempt;
     };
-    /// Attempts whose request was sent, by upstream.
+    /// By upstream.
     std::multimap<std::string, AttemptInProgress, std::less<>> m_attemptsInProgress;
 };
 
--- a/src/policy/crashingparts.cpp
+++ b/src/policy/crashingparts.cpp
@@ -122,12 +122,6 @@
     return found->second.lastFailureAt + duration;
 }
 
-int CrashingParts::strikes(std::uint64_t part) const
-{
-    const auto found = m_bans.find(part);
-    return found == m_bans.end() ? 0 : found->second.strikes;
-}
-
 std::vector<PartBan> CrashingParts::bans(Instant now) const
 {
     std::vector<PartBan> bans;
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -22,13 +22,6 @@
 constexpr std::size_t MaxDiscardedBytes = 65'536;
 /// Number of responses to other requests that are skipped on one connection.
 constexpr int MaxStrayResponses = 3;
-/// How long a connection opened by a probe is kept for a request.
-constexpr milliseconds ProbeMaxIdleTime{300};
-/// How long a probe connection must stay open to prove that the upstream is alive: a process that is exiting
-/// still accepts connections for a few milliseconds and then closes them.
-constexpr milliseconds ProbeSettleTime{20};
-/// Maximum number of probe connections, opened one after another until one stays open or can't be opened.
-constexpr int MaxProbes = 3;
 /// A caller may close its connection this much before the deadline that this instance has reckoned.
 constexpr milliseconds CallerCloseTolerance{100};
 /// Time after the first token of a stream after which its prompt is taken not to crash upstreams, which do so
@@ -372,52 +365,4 @@
         probe(attempt.upstream, attempt.address, fiber);
 }
 
-void Router::handleUnreachable(const std::string &upstream, bool refused)
-{
-    const Instant time = now();
-    m_state.connections.close(upstream);
-    // A timeout may also come from a fault of this instance's own network; only a refused connection proves
-    // that the upstream process has ended.
-    if (!refused) {
-        m_state.silenceDetector.suspect(upstream, time);
-        return;
-    }
-    // After a long silence it is unknown when the process ended, and usually many ended together.
-    const bool wasHeard = m_state.silenceDetector.silence(upstream, time) <= CrashTracker::AttributionWindow;
-    m_state.catalog.suspectRestart(upstream, time);
-    m_state.prefixCacheIndex.forget(upstream);
-    const UpstreamRecord *record = m_state.catalog.find(upstream);
-    const std::string incarnation = std::to_string(record != nullptr ? record->entry.startUnixMs : 0);
-    const std::size_t running = m_state.crashTracker.recordCrash(upstream, incarnation, time, wasHeard);
-    if (running == 0)
-        return;
-    log(LogLevel::Warning, "upstream-crashed",
-        {{"upstream", upstream}, {"running", static_cast<std::int64_t>(running)}});
-    if (m_state.notifyPeers)
-        m_state.notifyPeers();
-}
-
-void Router::probe(const std::string &upstream, const std::string &address, const Fiber &fiber)
-{
-    // A broken connection may mean that the upstream has crashed or only that this connection failed; opening
-    // a new one shows which. The caller gets its response only after that, so that all peers know of a
-    // request that crashes upstreams before it can be retried or resent.
-    if (!m_probedUpstreams.insert(upstream).second)
-        return;
-    for (int probes = 0; probes < MaxProbes; ++probes) {
-        auto client = std::make_unique<HttpClient>();
-        if (!client->connect(address, ConnectTimeout, fiber)) {
-            m_state.outlierDetector.record(upstream, AttemptResult::Unreachable, now());
-            handleUnreachable(upstream, !client->timedOut());
-            break;
-        }
-        sleepFor(ProbeSettleTime, fiber);
-        if (client->isIdle()) {
-            m_state.connections.release(upstream, std::move(client), ProbeMaxIdleTime, now());
-            break;
-        }
-    }
-    m_probedUpstreams.erase(upstream);
-}
-
 } // namespace chestnutsill
