Log the request rates that upstreams name in their responses, and when a request was sent

The adapter decodes the field, new events tell when a rate is named, changes, ends or is malformed, /state shows it by upstream, and request-ended has sentMs. Nothing is decided by it yet.

--- a/include/chestnutsill/fwd.h
+++ b/include/chestnutsill/fwd.h
@@ -25,6 +25,7 @@
 class RetryBudget;
 class RevisionLagDetector;
 class SilenceDetector;
+class UpstreamRateLimits;
 class WindowedRetryBudget;
 
 enum class AttemptResult;
@@ -63,6 +64,7 @@
 struct PromptPart;
 struct PublishedItem;
 struct PublishedText;
+struct RateLimitNotice;
 struct Refusal;
 struct Release;
 struct RequestClass;
--- a/include/chestnutsill/router/protocoladapter.h
+++ b/include/chestnutsill/router/protocoladapter.h
@@ -47,6 +47,11 @@
     Outcome outcome = Outcome::Answer;
     /// Header fields to forward to the caller.
     std::vector<HttpField> fields;
+    /// Requests per second that the upstream accepts from all instances together, if the response names a
+    /// rate.
+    std::optional<double> maxRequestRate;
+    /// The text that should be such a rate and can't be read as one; empty if there is none.
+    std::string malformedRate;
     /// How long the connection may stay idle before its next request; empty if it must not be reused.
     std::optional<milliseconds> maxIdleTime;
 };
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -14,6 +14,7 @@
 #include "chestnutsill/policy/prefillrate.h"
 #include "chestnutsill/policy/silencedetector.h"
 #include "chestnutsill/policy/upstreamload.h"
+#include "chestnutsill/policy/upstreamratelimits.h"
 #include "chestnutsill/policy/upstreamselection.h"
 #include "chestnutsill/policy/windowedretrybudget.h"
 #include "chestnutsill/router/protocoladapter.h"
@@ -59,6 +60,7 @@
     DeadlineEstimator deadlineEstimator;
     WindowedRetryBudget retryBudget;
     ColdStartLimiter coldStartLimiter;
+    UpstreamRateLimits rateLimits;
     CrashTracker crashTracker;
     ConnectionPool connections;
     Metrics metrics;
@@ -103,6 +105,8 @@
     [[nodiscard]] std::optional<Answer> chooseUpstream(RequestContext &context, UpstreamAttempt &attempt);
     void send(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
     void receive(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
+    /// Records the request rate that a response names, or that it names none.
+    void recordRequestRate(const UpstreamAttempt &attempt, const UpstreamResponse &response, int status);
     void relayResponse(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
                        const Fiber &fiber);
     void relayEventStream(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -3,6 +3,7 @@
 #include "chestnutsill/clock.h"
 #include "chestnutsill/net/httpserver.h"
 #include "chestnutsill/observe/log.h"
+#include "chestnutsill/policy/hash.h"
 #include "daemon/identity.h"
 #include "daemon/statetext.h"
 #include "daemon/storewatcher.h"
@@ -267,12 +268,23 @@
             sleepFor(HousekeepingPeriod, fiber);
             m_state.catalog.removeExpired(now());
             m_state.connections.expire(now());
+            expireRateLimits();
             // The file may change without a SIGHUP.
             if (period % SettingsCheckPeriods == 0 && settingsText(m_settingsPath) != m_settingsText)
                 reload();
         }
     }
 
+    void expireRateLimits()
+    {
+        if (m_state.rateLimits.empty())
+            return;
+        std::vector<std::uint64_t> published;
+        for (const auto &[id, record] : m_state.catalog.upstreams())
+            published.push_back(stableHash(id));
+        m_state.rateLimits.expire(published, now());
+    }
+
     void waitForSignal()
     {
         m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
--- a/src/daemon/statetext.cpp
+++ b/src/daemon/statetext.cpp
@@ -19,6 +19,7 @@
 
 json::object toJson(const UpstreamRecord &record, const RouterState &state, Instant now)
 {
+    const auto maxRequestRate = state.rateLimits.perSecond(record.entry.id);
     const UpstreamEntry &entry = record.entry;
     const Load load = state.loadTable.total(entry.id, now);
     return {{"upstream", entry.id},
@@ -30,6 +31,7 @@
             {"coldForMs", std::max(0.0, toMs(record.coldUntil - now))},
             {"leftOut", state.outlierDetector.isEjected(entry.id, now)},
             {"silent", state.silenceDetector.isSilent(entry.id)},
+            {"maxRequestRate", maxRequestRate ? json::value(*maxRequestRate) : json::value(nullptr)},
             {"failureShare", state.outlierDetector.failureRate(entry.id, now)},
             {"running", load.running},
             {"unreadTokens", load.tokensToPrefill}};
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -144,6 +144,7 @@
     const auto fields = m_protocol.encode(context.request, options);
     attempt.sent = true;
     attempt.sentAt = now();
+    context.lastSentAt = attempt.sentAt;
     ++context.possibleRuns;
     ++context.sentAttempts;
     m_state.silenceDetector.recordSend(
@@ -170,6 +171,7 @@
         m_state.silenceDetector.recordBytes(attempt.upstream, now());
         auto response = m_protocol.interpret(*head, context.request.attemptId);
         attempt.status = head->status;
+        recordRequestRate(attempt, response, head->status);
         if (response.outcome == UpstreamResponse::Outcome::Answer) {
             if (!attempt.firstByteSeen) {
                 attempt.firstByteSeen = true;
@@ -220,6 +222,25 @@
     recordFailure(attempt, AttemptResult::Broken, "responses to other requests came instead");
 }
 
+void Router::recordRequestRate(const UpstreamAttempt &attempt, const UpstreamResponse &response, int status)
+{
+    using Outcome = UpstreamResponse::Outcome;
+    if (response.outcome == Outcome::Stray || response.outcome == Outcome::OtherIncarnation)
+        return;
+    if (!response.malformedRate.empty()) {
+        log(LogLevel::Warning, "upstream-rate-malformed",
+            {{"upstream", attempt.upstream}, {"value", response.malformedRate}});
+    } else if (response.maxRequestRate) {
+        if (m_state.rateLimits.recordNamed(attempt.upstream, *response.maxRequestRate, now())) {
+            log(LogLevel::Info, "upstream-rate-limit",
+                {{"upstream", attempt.upstream}, {"perSecond", *response.maxRequestRate}});
+        }
+    } else if (response.outcome == Outcome::Answer && status < FirstServerError
+               && m_state.rateLimits.recordUnnamed(attempt.upstream, attempt.sentAt)) {
+        log(LogLevel::Info, "upstream-rate-limit-ended", {{"upstream", attempt.upstream}});
+    }
+}
+
 void Router::relayResponse(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
                            const Fiber &fiber)
 {
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -77,6 +77,8 @@
     std::optional<milliseconds> retryAfter;
     /// Number of attempts whose request was sent.
     std::size_t sentAttempts = 0;
+    /// When the last of them was sent.
+    Instant lastSentAt{};
     /// Expected time to the first token at the upstream selected first, in milliseconds; only for engines.
     double expectedFirstTokenMs = 0;
     /// Number of attempts that may have run the request.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -267,6 +267,10 @@
          {"upstream", context.triedUpstreams.empty() ? std::string() : context.triedUpstreams.back()},
          {"attempts", static_cast<std::int64_t>(context.triedUpstreams.size())},
          {"expectedFirstTokenMs", context.expectedFirstTokenMs},
+         {"sentMs",
+          context.lastSentAt == Instant{}
+              ? -1.0
+              : std::chrono::duration<double, std::milli>(context.lastSentAt - context.arrivedAt).count()},
          {"firstByteMs", std::chrono::duration<double, std::milli>(record.firstToken).count()},
          {"wholeMs", std::chrono::duration<double, std::milli>(record.totalTime).count()},
          {"configVersion", static_cast<std::int64_t>(context.table ? context.table->version : 0)},
--- a/tests/platform/wiretest.cpp
+++ b/tests/platform/wiretest.cpp
@@ -149,6 +149,25 @@
     CHECK(countOf(forwarded.fields, "Keep-Alive") == 0);
 }
 
+TEST_CASE("wire: a request rate that is not a decimal number is told apart from one that is not given")
+{
+    const auto read = [](std::vector<HttpField> fields) {
+        return platform::protocolAdapter().interpret({200, std::move(fields), std::nullopt, true}, "a1");
+    };
+    CHECK(read({{"Server-Limit", " 1.5 "}}).maxRequestRate == 1.5);
+    CHECK(read({{"server-limit", "0"}}).maxRequestRate == 0.0);
+    CHECK_FALSE(read({}).maxRequestRate);
+    CHECK(read({}).malformedRate.empty());
+    for (const char *value : {"", "-1", "+1", "1,5", "1e3", "0x10", "inf", "nan", "1.5 a second"}) {
+        CAPTURE(value);
+        CHECK_FALSE(read({{"Server-Limit", value}}).maxRequestRate);
+        CHECK_FALSE(read({{"Server-Limit", value}}).malformedRate.empty());
+    }
+    const auto twice = read({{"Server-Limit", "1"}, {"Server-Limit", "2"}});
+    CHECK_FALSE(twice.maxRequestRate);
+    CHECK_FALSE(twice.malformedRate.empty());
+}
+
 TEST_CASE("wire: Retry-After may have fractions of a second, and directory responses state their TTL")
 {
     const auto fields = platform::protocolAdapter().retryAfter(milliseconds(250));
