--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -15,11 +15,12 @@
 
 /// Stand-in for an upstream of the users' platform. It answers a plain request after `workMs` and a streaming
 /// request with `events` events, one each `eventMs`, and counts executions. Commands to /control have the
-/// fields `mode`, `events`, `eventMs` and `workMs`. Modes: ok; error (status 500); shed (rejects without
-/// executing); reset (executes, then resets the connection); mute (executes, then sends nothing); cut (breaks
-/// off a stream in the middle of an event); stray (sends a response to another request first). A request
-/// whose body contains `poison` ends the process, and so does, after the first event, a streaming request
-/// whose prompt has the shared part `dead`. Options: listen, id.
+/// fields `mode`, `events`, `eventMs`, `workMs` and `rate`, the request rate that its responses name unless
+/// it is empty. Modes: ok; error (status 500); shed (rejects without executing); reset (executes, then resets
+/// the connection); mute (executes, then sends nothing); cut (breaks off a stream in the middle of an event);
+/// stray (sends a response to another request first). A request whose body contains `poison` ends the
+/// process, and so does, after the first event, a streaming request whose prompt has the shared part `dead`.
+/// Options: listen, id.
 class Replica
 {
 public:
@@ -63,6 +64,8 @@
         m_events = integer(command, "events", m_events);
         m_eventMs = integer(command, "eventMs", m_eventMs);
         m_workMs = integer(command, "workMs", m_workMs);
+        if (const auto *rate = command.if_contains("rate"))
+            m_rate = json::value_to<std::string>(*rate);
         respondJson(exchange, 200, json::object{{"ok", true}}, fiber);
     }
 
@@ -86,7 +89,9 @@
     {
         const HttpRequest &request = exchange.request();
         recordRun(request, id);
-        const std::vector<HttpField> fields{{"X-Attempt-Id", id}, {"X-Server-Seal", m_id + '.' + id}};
+        std::vector<HttpField> fields{{"X-Attempt-Id", id}, {"X-Server-Seal", m_id + '.' + id}};
+        if (!m_rate.empty())
+            fields.push_back({"Server-Limit", m_rate});
         if (request.target.find("/stream") != std::string::npos && m_mode != "error")
             return stream(exchange, fields, fiber);
         sleepFor(milliseconds(m_workMs), fiber);
@@ -143,6 +148,7 @@
     std::int64_t m_events = 6;
     std::int64_t m_eventMs = 10;
     std::int64_t m_workMs = 10;
+    std::string m_rate;
     std::map<std::string, std::int64_t> m_runs;
     std::int64_t m_started = 0;
     std::int64_t m_abandoned = 0;
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -42,6 +42,21 @@
     return FirstNetwork + static_cast<int>(::getpid()) % Networks;
 }
 
+/// Executions by attempt id, and their times, in the log of an upstream.
+std::multimap<std::string, std::int64_t> readRuns(const std::string &path)
+{
+    std::multimap<std::string, std::int64_t> runs;
+    std::ifstream log(path);
+    std::string word;
+    std::string id;
+    std::int64_t at = 0;
+    while (log >> word) {
+        if (word == "run" && log >> id >> at)
+            runs.emplace(id, at);
+    }
+    return runs;
+}
+
 } // namespace
 
 SiteCall callTo(const std::string &path, const std::string &attemptId, const std::string &body)
@@ -132,19 +147,19 @@
 std::multimap<std::string, std::int64_t> Site::allRuns() const
 {
     std::multimap<std::string, std::int64_t> runs;
-    for (const auto &upstream : m_upstreams) {
-        std::ifstream log(m_folder + '/' + upstream->id + ".log");
-        std::string word;
-        std::string id;
-        std::int64_t at = 0;
-        while (log >> word) {
-            if (word == "run" && log >> id >> at)
-                runs.emplace(id, at);
-        }
-    }
+    for (const auto &upstream : m_upstreams)
+        runs.merge(readRuns(m_folder + '/' + upstream->id + ".log"));
     return runs;
 }
 
+std::vector<std::int64_t> Site::runTimes(const std::string &upstream) const
+{
+    std::vector<std::int64_t> times;
+    for (const auto &[id, at] : readRuns(m_folder + '/' + upstream + ".log"))
+        times.push_back(at);
+    return times;
+}
+
 void Site::publishTable()
 {
     m_version += 2;
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -68,6 +68,9 @@
     /// which outlive restarts.
     [[nodiscard]] std::multimap<std::string, std::int64_t> allRuns() const;
 
+    /// Unix times in milliseconds at which an upstream executed requests.
+    [[nodiscard]] std::vector<std::int64_t> runTimes(const std::string &upstream) const;
+
     /// Starts or restarts the process of an upstream or an instance.
     void startUpstream(Upstream &upstream);
     void startInstance(std::size_t index);
