--- a/include/chestnutsill/chestnutsill.h
+++ b/include/chestnutsill/chestnutsill.h
@@ -31,6 +31,7 @@
 #include "chestnutsill/policy/prefillrate.h"
 #include "chestnutsill/policy/prompt.h"
 #include "chestnutsill/policy/requestid.h"
+#include "chestnutsill/policy/requestpermits.h"
 #include "chestnutsill/policy/retrybudget.h"
 #include "chestnutsill/policy/revisionlagdetector.h"
 #include "chestnutsill/policy/routing.h"
--- a/include/chestnutsill/peer/gossipmessage.h
+++ b/include/chestnutsill/peer/gossipmessage.h
@@ -2,7 +2,9 @@
 
 #include "chestnutsill/policy/crashtracker.h"
 #include "chestnutsill/policy/membership.h"
+#include "chestnutsill/policy/requestpermits.h"
 #include "chestnutsill/policy/upstreamload.h"
+#include "chestnutsill/policy/upstreamratelimits.h"
 
 #include <cstdint>
 #include <optional>
@@ -25,6 +27,15 @@
     Instant delay{};
 };
 
+/// Request of an instance for a permit, or the reply to it.
+template<typename Content>
+struct PermitMessage
+{
+    /// Chosen by the asking instance.
+    std::uint64_t id = 0;
+    Content content;
+};
+
 /// Heartbeat with gossip about other instances and upstreams, sent to peers at short intervals as one
 /// datagram.
 struct GossipMessage
@@ -58,6 +69,11 @@
     std::vector<std::uint64_t> servedParts;
     /// Hashes of the ids of upstreams that are silent for the sender; see `SilenceDetector`.
     std::vector<std::uint64_t> silentUpstreams;
+    /// Request rates that upstreams name in their responses; see `UpstreamRateLimits`.
+    std::vector<RateLimitNotice> rateLimits;
+    /// A message with one of these holds nothing else but `self` and is not a heartbeat.
+    std::optional<PermitMessage<PermitRequest>> permitRequest;
+    std::optional<PermitMessage<Permit>> permit;
 };
 
 /// Encodes a heartbeat as a packed Cap'n Proto message.
--- a/include/chestnutsill/policy/membership.h
+++ b/include/chestnutsill/policy/membership.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -136,6 +137,18 @@
     /// Sets whether this instance accepts callers.
     void setServing(bool serving) noexcept { m_ownServing = serving; }
 
+    /// The instance that ranks first for a key by rendezvous hash among the live ones that accept callers.
+    /// Nothing if it is this instance.
+    [[nodiscard]] std::optional<InstanceStatus> firstRanked(std::uint64_t key, Instant now) const;
+
+    /// Notes whether the instances that accept callers have changed. Call once per round.
+    void checkActive(Instant now);
+
+    /// Whether other instances may be taken to have the same view of which instances accept callers: it has
+    /// not changed for twice the time after which an instance is considered dead, and more than half of all
+    /// known instances are among them, so that no other part of a divided cluster finds the same.
+    [[nodiscard]] bool isSettled(Instant now) const;
+
     /// Name of the hub of an availability zone: among the strongest live instances that accept callers, the
     /// one that ranks first by rendezvous hash. While no instance of the zone accepts callers, because all
     /// have just started, the others rank likewise. Empty if the zone has no live instance.
@@ -193,6 +206,9 @@
 
     [[nodiscard]] bool isAlive(const KnownInstance &known, Instant now) const;
 
+    /// Time after which an instance that has not been seen is considered dead.
+    [[nodiscard]] milliseconds deadAfter() const noexcept;
+
     /// Hub names by availability zone: of this instance's zone and of each zone with a candidate.
     [[nodiscard]] std::map<std::string, std::string, std::less<>> hubs(Instant now) const;
 
@@ -211,6 +227,9 @@
     /// The hub of this instance's zone at the last check, and when it became the hub.
     std::string m_hub;
     Instant m_hubSince{};
+    /// Names of the live instances that accept callers at the last check, and when they last changed.
+    std::vector<std::string> m_activeInstances;
+    std::optional<Instant> m_activeSince;
 };
 
 } // namespace chestnutsill
--- a/include/chestnutsill/policy/upstreamratelimits.h
+++ b/include/chestnutsill/policy/upstreamratelimits.h
@@ -53,6 +53,14 @@
     /// Requests per second that an upstream accepts from all instances together, or nothing if it names no
     /// rate.
     [[nodiscard]] std::optional<double> perSecond(std::string_view upstream) const;
+    /// The same by the hash of the upstream's id.
+    [[nodiscard]] std::optional<double> perSecond(std::uint64_t upstream) const;
+
+    /// Records that no permit to send to an upstream can be had before `until`.
+    void recordDenied(std::string_view upstream, Instant until);
+
+    /// The instant before which no permit can be had; in the past if one may be had now.
+    [[nodiscard]] Instant nextPermitAt(std::string_view upstream) const;
 
     /// Up to `MaxNotices` notices for the heartbeat of a round; further ones take their turn in other rounds.
     [[nodiscard]] std::vector<RateLimitNotice> notices(std::uint64_t round, Instant now) const;
@@ -71,6 +79,7 @@
         Instant namedAt{};
         /// When the latest request was sent whose response named none.
         std::optional<Instant> endedAt;
+        Instant nextPermitAt{};
 
         [[nodiscard]] bool isLimited() const noexcept { return !endedAt || namedAt > *endedAt; }
     };
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -12,6 +12,7 @@
 #include "chestnutsill/policy/membership.h"
 #include "chestnutsill/policy/outlierdetector.h"
 #include "chestnutsill/policy/prefillrate.h"
+#include "chestnutsill/policy/requestpermits.h"
 #include "chestnutsill/policy/silencedetector.h"
 #include "chestnutsill/policy/upstreamload.h"
 #include "chestnutsill/policy/upstreamratelimits.h"
@@ -61,11 +62,15 @@
     WindowedRetryBudget retryBudget;
     ColdStartLimiter coldStartLimiter;
     UpstreamRateLimits rateLimits;
+    PermitIssuer permitIssuer;
     CrashTracker crashTracker;
     ConnectionPool connections;
     Metrics metrics;
     /// Sends a heartbeat at once, for events that peers must learn of before the next regular one.
     std::function<void()> notifyPeers;
+    /// Asks the instance at a peer address for a permit. Returns nothing without a reply.
+    std::function<std::optional<Permit>(const std::string &address, const PermitRequest &, const Fiber &)>
+        requestPermit;
     /// Whether this instance is about to stop, so that callers are asked to close their connections.
     bool leaving = false;
     /// Whether all further requests are refused.
@@ -96,13 +101,27 @@
     [[nodiscard]] std::optional<Answer> resolveRoute(RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> authorize(RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> run(RequestContext &context, const Fiber &fiber);
-    /// Upstreams that a request may be sent to. Suspected ones are left out while there are others, and
-    /// silent ones always.
+    /// Which upstreams are candidates for a request.
+    struct CandidateFilter
+    {
+        /// Whether upstreams that are suspected of being silent are included.
+        bool includeSuspected = false;
+        /// How long the request may wait for the permit of one that accepts a limited rate.
+        milliseconds permitWait{};
+    };
+    /// Upstreams that a request may be sent to. Those that it would have to wait for, and suspected ones, are
+    /// left out while there are others, and silent ones always.
     [[nodiscard]] std::vector<UpstreamCandidate> collectCandidates(const RequestContext &context,
                                                                    Instant time) const;
-    [[nodiscard]] std::vector<UpstreamCandidate> collectCandidates(const RequestContext &context,
-                                                                   Instant time, bool includeSuspected) const;
+    [[nodiscard]] std::vector<UpstreamCandidate>
+    collectCandidates(const RequestContext &context, Instant time, const CandidateFilter &filter) const;
     [[nodiscard]] std::optional<Answer> chooseUpstream(RequestContext &context, UpstreamAttempt &attempt);
+    /// Chooses an upstream and waits until the request may be sent to it.
+    [[nodiscard]] std::optional<Answer> choosePermittedUpstream(RequestContext &context,
+                                                                UpstreamAttempt &attempt, const Fiber &fiber);
+    /// Gets the permit to send a request now to an upstream that accepts a limited rate. Waits for it up to
+    /// `maxDelay`.
+    [[nodiscard]] bool acquirePermit(const std::string &upstream, milliseconds maxDelay, const Fiber &fiber);
     void send(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
     void receive(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
     /// Records the request rate that a response names, or that it names none.
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -136,6 +136,10 @@
     void run()
     {
         m_state.notifyPeers = [this] { m_gossip.sendRound(); };
+        m_state.requestPermit = [this](const std::string &address, const PermitRequest &request,
+                                       const Fiber &fiber) {
+            return m_gossip.requestPermit(address, request, fiber);
+        };
         startFiber(m_io, [this](const Fiber &fiber) { m_storeWatcher.run(fiber); });
         startFiber(m_io, [this](const Fiber &fiber) { m_gossip.run(fiber); });
         startFiber(m_io, [this](const Fiber &fiber) { m_router.monitorSilence(m_io, fiber); });
@@ -268,6 +272,7 @@
             sleepFor(HousekeepingPeriod, fiber);
             m_state.catalog.removeExpired(now());
             m_state.connections.expire(now());
+            m_state.permitIssuer.expire(now());
             expireRateLimits();
             // The file may change without a SIGHUP.
             if (period % SettingsCheckPeriods == 0 && settingsText(m_settingsPath) != m_settingsText)
--- a/src/daemon/udpgossip.cpp
+++ b/src/daemon/udpgossip.cpp
@@ -4,6 +4,7 @@
 #include "chestnutsill/net/address.h"
 #include "chestnutsill/observe/log.h"
 #include "chestnutsill/policy/hash.h"
+#include "daemon/identity.h"
 
 #include <algorithm>
 #include <set>
@@ -19,6 +20,8 @@
 constexpr std::uint64_t SeedRounds = 10;
 /// Maximum number of silent upstreams in a heartbeat, which has to fit into a datagram.
 constexpr std::size_t MaxSilentUpstreams = 64;
+/// Time for the reply to a request for a permit: many round trips between instances.
+constexpr milliseconds PermitTimeout{100};
 
 std::optional<Udp::endpoint> toEndpoint(std::string_view address)
 {
@@ -36,6 +39,7 @@
     , m_state(state)
     , m_handlers(std::move(handlers))
     , m_incarnation(m_handlers.self().incarnation)
+    , m_lastPermitId(randomNumber())
 {
     const auto endpoint = toEndpoint(address);
     if (!endpoint)
@@ -54,7 +58,12 @@
             if (error == boost::asio::error::operation_aborted)
                 return;
             if (!error) {
-                if (const auto message = decodeGossip({m_buffer.data(), size}))
+                const auto message = decodeGossip({m_buffer.data(), size});
+                if (message && message->permitRequest)
+                    issuePermit(*message, now());
+                else if (message && message->permit)
+                    receivePermit(*message->permit);
+                else if (message)
                     handleHeartbeat(*message);
                 else
                     log(LogLevel::Warning, "heartbeat-malformed", {{"from", m_sender.address().to_string()}});
@@ -63,6 +72,53 @@
         });
 }
 
+void UdpGossip::issuePermit(const GossipMessage &message, Instant time)
+{
+    /// Time until an instance that is not the issuer may be asked again, since views of the membership agree
+    /// after a few heartbeats.
+    constexpr milliseconds NotIssuerDelay{200};
+    PermitRequest request = message.permitRequest->content;
+    const bool isIssuer = !m_state.membership.firstRanked(request.upstream, time);
+    // The rate may have fallen since the sender was told of it.
+    if (const auto known = m_state.rateLimits.perSecond(request.upstream))
+        request.perSecond = std::min(request.perSecond, *known);
+    GossipMessage reply;
+    reply.self = m_handlers.self();
+    reply.permit = {message.permitRequest->id, isIssuer && !m_state.leaving ? m_state.permitIssuer.issue(
+                                                   request, m_state.membership.isSettled(time), time)
+                                                                            : Permit{false, NotIssuerDelay}};
+    send(std::move(reply), message.self.peerAddress, time);
+}
+
+void UdpGossip::receivePermit(const PermitMessage<Permit> &reply)
+{
+    for (PendingPermit &pending : m_pendingPermits) {
+        if (pending.id != reply.id)
+            continue;
+        pending.reply = reply.content;
+        pending.timer.cancel();
+    }
+}
+
+std::optional<Permit> UdpGossip::requestPermit(const std::string &address, const PermitRequest &request,
+                                               const Fiber &fiber)
+{
+    const Instant start = now();
+    const auto pending = m_pendingPermits.insert(
+        m_pendingPermits.end(),
+        {++m_lastPermitId, std::nullopt, boost::asio::steady_timer(fiber.get_executor(), PermitTimeout)});
+    GossipMessage message;
+    message.self = m_handlers.self();
+    message.permitRequest = {pending->id, request};
+    send(std::move(message), address, start);
+    boost::system::error_code ignored;
+    pending->timer.async_wait(fiber[ignored]);
+    const auto reply = pending->reply;
+    m_pendingPermits.erase(pending);
+    // A process that was stopped meanwhile must not use a permit that was meant for an earlier time.
+    return now() - start <= PermitTimeout ? reply : std::nullopt;
+}
+
 void UdpGossip::handleHeartbeat(const GossipMessage &message)
 {
     const Instant time = now();
@@ -87,6 +143,9 @@
     for (const PartBan &ban : message.bans)
         m_state.crashTracker.parts().mergeBan(ban, time);
     recordSilentUpstreams(message.silentUpstreams, time);
+    const auto earliestSentAt = earliestSendOf(message, time);
+    for (const RateLimitNotice &notice : message.rateLimits)
+        m_state.rateLimits.merge(notice, earliestSentAt, time);
     m_lastHeartbeats[message.self.peerAddress] = {message.self.incarnation, message.sentAt, time};
     const auto &table = m_state.catalog.table();
     const std::uint64_t ownVersion = table ? table->version : 0;
@@ -133,15 +192,22 @@
 
 void UdpGossip::confirmFreshness(const GossipMessage &message, std::uint64_t ownVersion, Instant time)
 {
-    if (!message.confirmedAge)
-        return;
+    // Dating the confirmation from that instant never makes it look newer than it is.
+    const auto earliestSentAt = earliestSendOf(message, time);
+    if (message.confirmedAge && earliestSentAt)
+        m_state.freshness.confirm(ownVersion, *earliestSentAt - *message.confirmedAge);
+}
+
+std::optional<Instant> UdpGossip::earliestSendOf(const GossipMessage &message, Instant time) const
+{
+    std::optional<Instant> latest;
     for (const HeartbeatEcho &echo : message.echoes) {
         // The peer sent this heartbeat no earlier than `delay` after this instance had sent the echoed one.
-        // Dating the confirmation from that instant never makes it look newer than it is.
         const Instant earliestSend = echo.sentAt + std::max(echo.delay, Instant{});
         if (echo.incarnation == m_incarnation && earliestSend <= time)
-            m_state.freshness.confirm(ownVersion, earliestSend - *message.confirmedAge);
+            latest = std::max(latest.value_or(earliestSend), earliestSend);
     }
+    return latest;
 }
 
 GossipMessage UdpGossip::makeHeartbeat(Instant time)
@@ -162,6 +228,7 @@
         if (message.silentUpstreams.size() < MaxSilentUpstreams)
             message.silentUpstreams.push_back(stableHash(upstream));
     }
+    message.rateLimits = m_state.rateLimits.notices(m_round, time);
     message.unknownInstances = m_state.membership.unknownInstances();
     message.sentAt = time;
     return message;
@@ -173,6 +240,7 @@
     std::erase_if(m_lastHeartbeats,
                   [&](const auto &item) { return time - item.second.arrivedAt > Membership::DeadAfter; });
     m_state.membership.checkHub(time);
+    m_state.membership.checkActive(time);
     GossipMessage message = makeHeartbeat(time);
     if (m_state.membership.size(time) == 1 || m_round % SeedRounds == 0)
         sendToSeeds(message, time);
--- a/src/daemon/udpgossip.h
+++ b/src/daemon/udpgossip.h
@@ -5,10 +5,13 @@
 #include "chestnutsill/router/router.h"
 
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <functional>
+#include <list>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -48,6 +51,11 @@
     /// Sends one round of heartbeats now.
     void sendRound();
 
+    /// Asks the instance at a peer address for a permit. Returns nothing if no reply arrives within
+    /// `PermitTimeout`; a later one is ignored.
+    [[nodiscard]] std::optional<Permit> requestPermit(const std::string &address,
+                                                      const PermitRequest &request, const Fiber &fiber);
+
 private:
     /// The last heartbeat received from a peer, echoed to it in the next heartbeat.
     struct LastHeartbeat
@@ -59,11 +67,23 @@
         Instant arrivedAt{};
     };
 
+    /// A request for a permit without a reply yet.
+    struct PendingPermit
+    {
+        std::uint64_t id = 0;
+        std::optional<Permit> reply;
+        boost::asio::steady_timer timer;
+    };
+
     void receive();
+    void issuePermit(const GossipMessage &message, Instant time);
+    void receivePermit(const PermitMessage<Permit> &reply);
     void handleHeartbeat(const GossipMessage &message);
     void replyTo(const GossipMessage &message, Instant time);
     void recordSilentUpstreams(std::span<const std::uint64_t> upstreams, Instant time);
     void confirmFreshness(const GossipMessage &message, std::uint64_t ownVersion, Instant time);
+    /// The latest instant that a heartbeat proves to be no later than its sending; nothing without an echo.
+    [[nodiscard]] std::optional<Instant> earliestSendOf(const GossipMessage &message, Instant time) const;
 
     [[nodiscard]] GossipMessage makeHeartbeat(Instant time);
     /// Sends a round in a small cluster, where each instance sends its heartbeats to all others.
@@ -85,6 +105,8 @@
     /// Last heartbeats by peer address.
     std::map<std::string, LastHeartbeat> m_lastHeartbeats;
     std::uint64_t m_round = 0;
+    std::list<PendingPermit> m_pendingPermits;
+    std::uint64_t m_lastPermitId;
     /// Whether this instance was the hub of its availability zone in the last round. A hub forwards
     /// what it receives about prefix caches and crashes.
     bool m_isHub = false;
--- a/src/peer/fleet.capnp
+++ b/src/peer/fleet.capnp
@@ -62,6 +62,34 @@
   ageMs @2 :UInt32;
 }
 
+# A request rate that an upstream names in its responses.
+struct RateNews {
+  # Hash of the upstream's id.
+  upstream @0 :UInt64;
+  # Requests per second that it accepts from all instances together.
+  perSecond @1 :Float64;
+  # Milliseconds since a response named the rate.
+  namedAgeMs @2 :UInt32;
+  # Milliseconds since the sending of the latest request whose response named none; negative if there was none.
+  endedAgeMs @3 :Int32;
+}
+
+# Request for the permit to send one request to an upstream that accepts a limited rate.
+struct PermitAsk {
+  # Identifies the request in the reply.
+  id @0 :UInt64;
+  upstream @1 :UInt64;
+  perSecond @2 :Float64;
+  maxDelayMs @3 :UInt32;
+}
+
+struct PermitReply {
+  id @0 :UInt64;
+  granted @1 :Bool;
+  # Milliseconds until the request may be sent or, if denied, until a permit may be had.
+  delayMs @2 :UInt32;
+}
+
 struct Echo {
   # Incarnation of the instance whose heartbeat is echoed.
   incarnation @0 :UInt64;
@@ -103,4 +131,8 @@
   bans @16 :List(PartBan);
   # Prompt parts that were suspected of crashing upstreams and have since been served.
   servedParts @17 :List(UInt64);
+  rates @18 :List(RateNews);
+  # A message with one of these is not a heartbeat.
+  permitAsk @19 :PermitAsk;
+  permitReply @20 :PermitReply;
 }
--- a/src/peer/gossipmessage.cpp
+++ b/src/peer/gossipmessage.cpp
@@ -4,6 +4,7 @@
 #include "impl/wirebytes.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace chestnutsill {
@@ -79,6 +80,55 @@
             milliseconds(static_cast<milliseconds::rep>(packed & AgeMask))};
 }
 
+constexpr std::int32_t NeverEnded = -1;
+
+void write(wire::RateNews::Builder out, const RateLimitNotice &notice)
+{
+    out.setUpstream(notice.upstream);
+    out.setPerSecond(notice.perSecond);
+    out.setNamedAgeMs(clampTo<std::uint32_t>(notice.namedAge.count()));
+    out.setEndedAgeMs(notice.endedAge ? clampTo<std::int32_t>(notice.endedAge->count()) : NeverEnded);
+}
+
+/// Whether a rate was read from a response, so that it may be used as one.
+bool isRate(double perSecond) noexcept
+{
+    return std::isfinite(perSecond) && perSecond >= 0;
+}
+
+RateLimitNotice read(wire::RateNews::Reader in)
+{
+    RateLimitNotice notice{in.getUpstream(), in.getPerSecond(), milliseconds(in.getNamedAgeMs()), {}};
+    if (in.getEndedAgeMs() >= 0)
+        notice.endedAge = milliseconds(in.getEndedAgeMs());
+    return notice;
+}
+
+void write(wire::PermitAsk::Builder out, const PermitMessage<PermitRequest> &ask)
+{
+    out.setId(ask.id);
+    out.setUpstream(ask.content.upstream);
+    out.setPerSecond(ask.content.perSecond);
+    out.setMaxDelayMs(clampTo<std::uint32_t>(ask.content.maxDelay.count()));
+}
+
+PermitMessage<PermitRequest> read(wire::PermitAsk::Reader in)
+{
+    return {in.getId(), {in.getUpstream(), in.getPerSecond(), milliseconds(in.getMaxDelayMs())}};
+}
+
+void write(wire::PermitReply::Builder out, const PermitMessage<Permit> &reply)
+{
+    out.setId(reply.id);
+    out.setGranted(reply.content.granted);
+    out.setDelayMs(clampTo<std::uint32_t>(reply.content.delay.count()));
+}
+
+PermitMessage<Permit> read(wire::PermitReply::Reader in)
+{
+    return {in.getId(), {in.getGranted(), milliseconds(in.getDelayMs())}};
+}
+
 void writeLoads(wire::FleetBeat::Builder root, const std::vector<UpstreamLoad> &upstreamLoads)
 {
     auto loads = root.initLoads(static_cast<unsigned>(upstreamLoads.size()));
@@ -162,6 +212,13 @@
     root.setServedParts({gossip.servedParts.data(), gossip.servedParts.size()});
     root.setCleared({gossip.cleared.data(), gossip.cleared.size()});
     root.setSilent({gossip.silentUpstreams.data(), gossip.silentUpstreams.size()});
+    auto rates = root.initRates(static_cast<unsigned>(gossip.rateLimits.size()));
+    for (unsigned i = 0; i < rates.size(); ++i)
+        write(rates[i], gossip.rateLimits[i]);
+    if (gossip.permitRequest)
+        write(root.initPermitAsk(), *gossip.permitRequest);
+    if (gossip.permit)
+        write(root.initPermitReply(), *gossip.permit);
     return impl::toBytes(message);
 }
 
@@ -202,6 +259,14 @@
         gossip.servedParts = toNumbers(root.getServedParts());
         gossip.cleared = toNumbers(root.getCleared());
         gossip.silentUpstreams = toNumbers(root.getSilent());
+        for (const auto rate : root.getRates()) {
+            if (isRate(rate.getPerSecond()))
+                gossip.rateLimits.push_back(read(rate));
+        }
+        if (root.hasPermitAsk() && isRate(root.getPermitAsk().getPerSecond()))
+            gossip.permitRequest = read(root.getPermitAsk());
+        if (root.hasPermitReply())
+            gossip.permit = read(root.getPermitReply());
     });
     if (!isValid || gossip.self.name.empty())
         return std::nullopt;
--- a/src/peer/impl/fleet.capnp.h
+++ b/src/peer/impl/fleet.capnp.h
@@ -23,6 +23,9 @@
 CAPNP_DECLARE_SCHEMA(ba60f1077f8ad328);
 CAPNP_DECLARE_SCHEMA(c4329d321dc996e8);
 CAPNP_DECLARE_SCHEMA(aaa74bc723b6f518);
+CAPNP_DECLARE_SCHEMA(86161c7896635863);
+CAPNP_DECLARE_SCHEMA(b788abb33eef50b4);
+CAPNP_DECLARE_SCHEMA(9b8d860bc5bd7827);
 CAPNP_DECLARE_SCHEMA(e92942e2dd89a25b);
 CAPNP_DECLARE_SCHEMA(81ae289e0deadabe);
 
@@ -137,6 +140,51 @@
   };
 };
 
+struct RateNews {
+  RateNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(86161c7896635863, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitAsk {
+  PermitAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b788abb33eef50b4, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitReply {
+  PermitReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9b8d860bc5bd7827, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Echo {
   Echo() = delete;
 
@@ -160,7 +208,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 5, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 5, 15)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -827,6 +875,274 @@
 };
 #endif  // !CAPNP_LITE
 
+class RateNews::Reader {
+public:
+  typedef RateNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getNamedAgeMs() const;
+
+  inline  ::int32_t getEndedAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateNews::Builder {
+public:
+  typedef RateNews Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getNamedAgeMs();
+  inline void setNamedAgeMs( ::uint32_t value);
+
+  inline  ::int32_t getEndedAgeMs();
+  inline void setEndedAgeMs( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateNews::Pipeline {
+public:
+  typedef RateNews Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitAsk::Reader {
+public:
+  typedef PermitAsk Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint64_t getUpstream() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getMaxDelayMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitAsk::Builder {
+public:
+  typedef PermitAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getMaxDelayMs();
+  inline void setMaxDelayMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitAsk::Pipeline {
+public:
+  typedef PermitAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitReply::Reader {
+public:
+  typedef PermitReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline bool getGranted() const;
+
+  inline  ::uint32_t getDelayMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitReply::Builder {
+public:
+  typedef PermitReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+  inline  ::uint32_t getDelayMs();
+  inline void setDelayMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitReply::Pipeline {
+public:
+  typedef PermitReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Echo::Reader {
 public:
   typedef Echo Reads;
@@ -978,6 +1294,15 @@
   inline bool hasServedParts() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getServedParts() const;
 
+  inline bool hasRates() const;
+  inline  ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>::Reader getRates() const;
+
+  inline bool hasPermitAsk() const;
+  inline  ::chestnutsill::wire::PermitAsk::Reader getPermitAsk() const;
+
+  inline bool hasPermitReply() const;
+  inline  ::chestnutsill::wire::PermitReply::Reader getPermitReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1113,6 +1438,27 @@
   inline void adoptServedParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownServedParts();
 
+  inline bool hasRates();
+  inline  ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>::Builder getRates();
+  inline void setRates( ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>::Builder initRates(unsigned int size);
+  inline void adoptRates(::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>> disownRates();
+
+  inline bool hasPermitAsk();
+  inline  ::chestnutsill::wire::PermitAsk::Builder getPermitAsk();
+  inline void setPermitAsk( ::chestnutsill::wire::PermitAsk::Reader value);
+  inline  ::chestnutsill::wire::PermitAsk::Builder initPermitAsk();
+  inline void adoptPermitAsk(::capnp::Orphan< ::chestnutsill::wire::PermitAsk>&& value);
+  inline ::capnp::Orphan< ::chestnutsill::wire::PermitAsk> disownPermitAsk();
+
+  inline bool hasPermitReply();
+  inline  ::chestnutsill::wire::PermitReply::Builder getPermitReply();
+  inline void setPermitReply( ::chestnutsill::wire::PermitReply::Reader value);
+  inline  ::chestnutsill::wire::PermitReply::Builder initPermitReply();
+  inline void adoptPermitReply(::capnp::Orphan< ::chestnutsill::wire::PermitReply>&& value);
+  inline ::capnp::Orphan< ::chestnutsill::wire::PermitReply> disownPermitReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1132,6 +1478,8 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::chestnutsill::wire::InstanceNews::Pipeline getSelf();
+  inline  ::chestnutsill::wire::PermitAsk::Pipeline getPermitAsk();
+  inline  ::chestnutsill::wire::PermitReply::Pipeline getPermitReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1636,6 +1984,160 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t RateNews::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateNews::Builder::getUpstream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateNews::Builder::setUpstream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateNews::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double RateNews::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateNews::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RateNews::Reader::getNamedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RateNews::Builder::getNamedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RateNews::Builder::setNamedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t RateNews::Reader::getEndedAgeMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t RateNews::Builder::getEndedAgeMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RateNews::Builder::setEndedAgeMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitAsk::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitAsk::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitAsk::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitAsk::Builder::getUpstream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setUpstream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double PermitAsk::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitAsk::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitAsk::Reader::getMaxDelayMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitAsk::Builder::getMaxDelayMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setMaxDelayMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitReply::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitReply::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitReply::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitReply::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitReply::Reader::getDelayMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitReply::Builder::getDelayMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setDelayMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Echo::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2195,6 +2697,118 @@
       ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline bool FleetBeat::Reader::hasRates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasRates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>::Reader FleetBeat::Reader::getRates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>::Builder FleetBeat::Builder::getRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::setRates( ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>::Builder FleetBeat::Builder::initRates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void FleetBeat::Builder::adoptRates(
+    ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>> FleetBeat::Builder::disownRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chestnutsill::wire::RateNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
+inline bool FleetBeat::Reader::hasPermitAsk() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasPermitAsk() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chestnutsill::wire::PermitAsk::Reader FleetBeat::Reader::getPermitAsk() const {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::chestnutsill::wire::PermitAsk::Builder FleetBeat::Builder::getPermitAsk() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chestnutsill::wire::PermitAsk::Pipeline FleetBeat::Pipeline::getPermitAsk() {
+  return  ::chestnutsill::wire::PermitAsk::Pipeline(_typeless.getPointerField(13));
+}
+#endif  // !CAPNP_LITE
+inline void FleetBeat::Builder::setPermitAsk( ::chestnutsill::wire::PermitAsk::Reader value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::chestnutsill::wire::PermitAsk::Builder FleetBeat::Builder::initPermitAsk() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::adoptPermitAsk(
+    ::capnp::Orphan< ::chestnutsill::wire::PermitAsk>&& value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chestnutsill::wire::PermitAsk> FleetBeat::Builder::disownPermitAsk() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
+inline bool FleetBeat::Reader::hasPermitReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasPermitReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chestnutsill::wire::PermitReply::Reader FleetBeat::Reader::getPermitReply() const {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitReply>::get(_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline  ::chestnutsill::wire::PermitReply::Builder FleetBeat::Builder::getPermitReply() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitReply>::get(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chestnutsill::wire::PermitReply::Pipeline FleetBeat::Pipeline::getPermitReply() {
+  return  ::chestnutsill::wire::PermitReply::Pipeline(_typeless.getPointerField(14));
+}
+#endif  // !CAPNP_LITE
+inline void FleetBeat::Builder::setPermitReply( ::chestnutsill::wire::PermitReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitReply>::set(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), value);
+}
+inline  ::chestnutsill::wire::PermitReply::Builder FleetBeat::Builder::initPermitReply() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitReply>::init(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::adoptPermitReply(
+    ::capnp::Orphan< ::chestnutsill::wire::PermitReply>&& value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chestnutsill::wire::PermitReply> FleetBeat::Builder::disownPermitReply() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::PermitReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -121,6 +121,41 @@
     found->second.hubBackoffUntil = now + HubBackoff;
 }
 
+std::optional<InstanceStatus> Membership::firstRanked(std::uint64_t key, Instant now) const
+{
+    const KnownInstance *first = nullptr;
+    std::uint64_t highest = m_ownServing ? stableHash(m_ownName, key) : 0;
+    for (const auto &[name, known] : m_instances) {
+        const std::uint64_t rank = stableHash(name, key);
+        if (!known.status.serving || rank <= highest || !isAlive(known, now))
+            continue;
+        highest = rank;
+        first = &known;
+    }
+    return first == nullptr ? std::nullopt : std::optional(first->status);
+}
+
+void Membership::checkActive(Instant now)
+{
+    std::vector<std::string> active;
+    if (m_ownServing)
+        active.push_back(m_ownName);
+    for (const auto &[name, known] : m_instances) {
+        if (known.status.serving && isAlive(known, now))
+            active.push_back(name);
+    }
+    if (m_activeSince && active == m_activeInstances)
+        return;
+    m_activeInstances = std::move(active);
+    m_activeSince = now;
+}
+
+bool Membership::isSettled(Instant now) const
+{
+    return m_activeSince && now - *m_activeSince >= 2 * deadAfter()
+           && 2 * m_activeInstances.size() > m_instances.size() + 1;
+}
+
 std::map<std::string, std::string, std::less<>> Membership::hubs(Instant now) const
 {
     std::map<std::string, std::string, std::less<>> hubs;
@@ -224,10 +259,14 @@
 }
 
 bool Membership::isAlive(const KnownInstance &known, Instant now) const
+{
+    return now - known.lastSeenAt <= deadAfter();
+}
+
+milliseconds Membership::deadAfter() const noexcept
 {
     // Counts all known instances, because counting the live ones would need the limit itself.
-    const milliseconds limit = m_instances.size() > MaxDirectPeers ? LargeDeadAfter : DeadAfter;
-    return now - known.lastSeenAt <= limit;
+    return m_instances.size() > MaxDirectPeers ? LargeDeadAfter : DeadAfter;
 }
 
 bool Membership::isAlive(std::string_view name, Instant now) const
--- a/src/policy/upstreamratelimits.cpp
+++ b/src/policy/upstreamratelimits.cpp
@@ -46,11 +46,28 @@
 
 std::optional<double> UpstreamRateLimits::perSecond(std::string_view upstream) const
 {
-    const auto found = m_records.find(stableHash(upstream));
+    return perSecond(stableHash(upstream));
+}
+
+std::optional<double> UpstreamRateLimits::perSecond(std::uint64_t upstream) const
+{
+    const auto found = m_records.find(upstream);
     return found != m_records.end() && found->second.isLimited() ? std::optional(found->second.perSecond)
                                                                  : std::nullopt;
 }
 
+void UpstreamRateLimits::recordDenied(std::string_view upstream, Instant until)
+{
+    if (const auto found = m_records.find(stableHash(upstream)); found != m_records.end())
+        found->second.nextPermitAt = until;
+}
+
+Instant UpstreamRateLimits::nextPermitAt(std::string_view upstream) const
+{
+    const auto found = m_records.find(stableHash(upstream));
+    return found == m_records.end() ? Instant{} : found->second.nextPermitAt;
+}
+
 std::vector<RateLimitNotice> UpstreamRateLimits::notices(std::uint64_t round, Instant now) const
 {
     const auto ageOf = [&](Instant at) {
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -48,25 +48,73 @@
     return names;
 }
 
+/// Minimum Retry-After time sent when upstreams accept no more requests.
+constexpr milliseconds MinRetryAfter{100};
+
+/// When a permit for a usable upstream of a service may be had; nothing if none of them limits its rate.
+std::optional<Instant> nextPermitAt(const RouterState &state, std::string_view service)
+{
+    std::optional<Instant> earliest;
+    for (const UpstreamRecord *record : state.catalog.usableUpstreams(service)) {
+        if (!state.rateLimits.perSecond(record->entry.id))
+            continue;
+        const Instant at = state.rateLimits.nextPermitAt(record->entry.id);
+        earliest = std::min(earliest.value_or(at), at);
+    }
+    return earliest;
+}
+
+bool contains(std::span<const std::string> names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// Maximum number of upstreams that deny one attempt a permit before all that need one are left out.
+constexpr std::size_t MaxPermitRequests = 3;
+/// Maximum wait for a permit if the route has no target.
+constexpr milliseconds DefaultPermitWait{500};
+/// Fraction of the time left that a request may wait for a permit.
+constexpr int PermitWaitDivisor = 4;
+
+/// How long a request may wait for a permit: after its target it is late anyway and had better be refused, so
+/// that its caller can send it elsewhere.
+milliseconds maxPermitWait(const RequestContext &context, Instant time)
+{
+    const milliseconds target =
+        context.route->target > milliseconds(0) ? context.route->target : DefaultPermitWait;
+    const auto left = std::chrono::duration_cast<milliseconds>(context.deadline - time);
+    return std::clamp(left / PermitWaitDivisor, milliseconds(0), target);
+}
+
 } // namespace
 
 std::vector<UpstreamCandidate> Router::collectCandidates(const RequestContext &context, Instant time) const
 {
-    auto candidates = collectCandidates(context, time, false);
-    return candidates.empty() ? collectCandidates(context, time, true) : candidates;
+    const milliseconds permitWait = maxPermitWait(context, time);
+    for (const CandidateFilter filter : {CandidateFilter{false, {}}, CandidateFilter{false, permitWait},
+                                         CandidateFilter{true, permitWait}}) {
+        auto candidates = collectCandidates(context, time, filter);
+        if (!candidates.empty())
+            return candidates;
+    }
+    return {};
 }
 
 std::vector<UpstreamCandidate> Router::collectCandidates(const RequestContext &context, Instant time,
-                                                         bool includeSuspected) const
+                                                         const CandidateFilter &filter) const
 {
     std::vector<UpstreamCandidate> found;
     std::vector<std::string> instances;
     for (const UpstreamRecord *record : m_state.catalog.usableUpstreams(context.serviceName)) {
         const std::string &id = record->entry.id;
-        const bool wasTried = std::find(context.triedUpstreams.begin(), context.triedUpstreams.end(), id)
-                              != context.triedUpstreams.end();
-        if (wasTried || m_state.outlierDetector.isEjected(id, time) || m_state.silenceDetector.isSilent(id)
-            || (!includeSuspected && m_state.silenceDetector.isSuspected(id)))
+        if (contains(context.triedUpstreams, id) || m_state.outlierDetector.isEjected(id, time)
+            || m_state.silenceDetector.isSilent(id)
+            || (!filter.includeSuspected && m_state.silenceDetector.isSuspected(id)))
+            continue;
+        const bool isLimited = m_state.rateLimits.perSecond(id).has_value();
+        if (isLimited
+            && (contains(context.deniedUpstreams, id) || context.deniedUpstreams.size() >= MaxPermitRequests
+                || m_state.rateLimits.nextPermitAt(id) > time + filter.permitWait))
             continue;
         const bool isCold = isInColdStart(context, *record, time);
         if (isCold) {
@@ -86,6 +134,7 @@
                          .prefilledTokens = cachedTokens.prefilled,
                          .failureRate = m_state.outlierDetector.failureRate(id, time),
                          .inColdStart = isCold,
+                         .rateLimited = isLimited,
                          .sameZone = record->entry.zone == m_settings.zone});
     }
     return found;
@@ -115,6 +164,9 @@
         return refuseNotRun("deadline", "the deadline of the request has passed");
     m_state.catalog.removeExpired(time);
     auto candidates = collectCandidates(context, time);
+    const bool canGoElsewhere = std::any_of(candidates.begin(), candidates.end(),
+                                            [](const auto &candidate) { return !candidate.rateLimited; });
+    context.permitWait = canGoElsewhere ? milliseconds(0) : maxPermitWait(context, time);
     applyGapSensitivity(context, candidates);
     ServiceTimeModel serviceTimes;
     if (context.service != nullptr && context.service->engine) {
@@ -141,7 +193,52 @@
             m_state.coldStartLimiter.recordSend(attempt.upstream, time);
         return std::nullopt;
     }
+    if (const auto permitAt = nextPermitAt(m_state, context.serviceName)) {
+        const auto delay = std::chrono::ceil<milliseconds>(std::max(*permitAt - time, Instant{}));
+        context.retryAfter = std::min(std::max(delay, MinRetryAfter), retryDelay(context.deadline - time, 1));
+        return refuseNotRun("rate-limited", "the upstreams of the service accept no more requests now");
+    }
     return refuseNotRun("no-upstream", "no upstream of the service can accept the request now");
 }
 
+std::optional<Answer> Router::choosePermittedUpstream(RequestContext &context, UpstreamAttempt &attempt,
+                                                      const Fiber &fiber)
+{
+    context.deniedUpstreams.clear();
+    for (;;) {
+        if (auto refused = chooseUpstream(context, attempt))
+            return refused;
+        if (!m_state.rateLimits.perSecond(attempt.upstream)
+            || acquirePermit(attempt.upstream, context.permitWait, fiber))
+            return std::nullopt;
+        context.deniedUpstreams.push_back(attempt.upstream);
+        attempt = UpstreamAttempt{};
+    }
+}
+
+bool Router::acquirePermit(const std::string &upstream, milliseconds maxDelay, const Fiber &fiber)
+{
+    /// Time until an issuer that did not reply is asked again.
+    constexpr milliseconds NoReplyDelay{200};
+    /// A permit is not used later than this after it was due.
+    constexpr milliseconds MaxLateness{100};
+    const Instant start = now();
+    const auto rate = m_state.rateLimits.perSecond(upstream);
+    if (!rate)
+        return true;
+    const PermitRequest request{stableHash(upstream), *rate, maxDelay};
+    const auto issuer = m_state.membership.firstRanked(request.upstream, start);
+    const Permit permit =
+        issuer
+            ? m_state.requestPermit(issuer->peerAddress, request, fiber).value_or(Permit{false, NoReplyDelay})
+            : m_state.permitIssuer.issue(request, m_state.membership.isSettled(start), start);
+    if (!permit.granted) {
+        m_state.rateLimits.recordDenied(upstream, now() + permit.delay);
+        return false;
+    }
+    if (permit.delay > milliseconds(0))
+        sleepFor(permit.delay, fiber);
+    return now() - start <= permit.delay + MaxLateness;
+}
+
 } // namespace chestnutsill
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -73,6 +73,10 @@
     /// Connection of the current attempt, which is reset when the caller disconnects.
     HttpClient *activeClient = nullptr;
     std::vector<std::string> triedUpstreams;
+    /// Upstreams that accept a limited rate and have denied the current attempt a permit.
+    std::vector<std::string> deniedUpstreams;
+    /// How long the current attempt may wait for a permit: not at all while it can be sent elsewhere.
+    milliseconds permitWait{};
     /// When the caller should send a refused request again; a default applies if it is not set.
     std::optional<milliseconds> retryAfter;
     /// Number of attempts whose request was sent.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -158,7 +158,7 @@
                 "upstreams crashed repeatedly while running this request or a part of its prompt");
         }
         UpstreamAttempt attempt;
-        if (auto refused = chooseUpstream(context, attempt)) {
+        if (auto refused = choosePermittedUpstream(context, attempt, fiber)) {
             if (context.possibleRuns > 0)
                 return refusal(502, Verdict::MayHaveRun, "upstream-failed", "upstream", "an upstream failed");
             return refused;
--- a/src/router/upstreamhealth.cpp
+++ b/src/router/upstreamhealth.cpp
@@ -126,9 +126,15 @@
             break;
         }
         const std::string address = record->entry.address;
+        const std::string path = healthPath(record->entry.service);
+        // A health check takes a slot like any other request.
+        if (!acquirePermit(upstream, MaxHealthPause, fiber)) {
+            sleepFor(pause, fiber);
+            continue;
+        }
         auto client = std::make_unique<HttpClient>();
         ++checks;
-        const HealthResult result = checkHealth(*client, address, healthPath(record->entry.service), fiber);
+        const HealthResult result = checkHealth(*client, address, path, fiber);
         if (result == HealthResult::Answered) {
             detector.recordBytes(upstream, now());
             if (client->isIdle())
@@ -183,7 +189,10 @@
     for (auto item = begin; item != end; ++item) {
         auto &[context, attempt] = item->second;
         // Without a free upstream elsewhere the request keeps waiting, since the silence may end.
-        if (attempt->retryGranted || collectCandidates(*context, now()).empty())
+        const auto candidates = collectCandidates(*context, now());
+        const bool hasFreeUpstream = std::any_of(candidates.begin(), candidates.end(),
+                                                 [](const auto &other) { return !other.rateLimited; });
+        if (attempt->retryGranted || !hasFreeUpstream)
             continue;
         attempt->verdict = Verdict::MayHaveRun;
         if (!mayRetry(*context, *attempt))
--- a/tests/entry/requestratetest.cpp
+++ b/tests/entry/requestratetest.cpp
@@ -141,3 +141,33 @@
         return true;
     }));
 }
+
+TEST_CASE("request rate: a value that is not a decimal number neither limits an upstream nor ends its limit")
+{
+    Site site("request-rate-malformed");
+    auto &upstream = site.addUpstream("chat-1", "chat");
+    startSite(site);
+    const auto isServed = [&](std::size_t i) {
+        const auto answer = site.call(i % Instances, callTo("/streamonce/stream/x", ""));
+        return answer && answer->head.status == 200;
+    };
+    for (const char *value : {"-1", "few", "1,5", "inf"}) {
+        CAPTURE(value);
+        Site::commandUpstream(upstream, R"({"rate":")" + std::string(value) + R"("})");
+        for (std::size_t i = 0; i < 2 * Instances; ++i)
+            CHECK(isServed(i));
+    }
+    Site::commandUpstream(upstream, R"({"rate":"1"})");
+    CHECK(support::waitUntil([&] {
+        for (std::size_t i = 0; i < Instances; ++i) {
+            if (isServed(i))
+                return false;
+        }
+        return true;
+    }));
+    Site::commandUpstream(upstream, R"({"rate":"few"})");
+    Load load(site, "/streamonce/stream/x", 6, milliseconds(100));
+    CHECK(support::waitUntil([&] { return load.served() >= 8; }, std::chrono::seconds(40)));
+    load.stop();
+    CHECK(load.refused() > 4 * load.served());
+}
--- a/tests/peer/gossipmessagetest.cpp
+++ b/tests/peer/gossipmessagetest.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <limits>
+
 using namespace chestnutsill;
 
 namespace {
@@ -28,6 +30,8 @@
     message.servedParts = {17};
     message.cleared = {8};
     message.silentUpstreams = {13};
+    message.rateLimits.push_back({18, 1.4, milliseconds(300), std::nullopt});
+    message.rateLimits.push_back({19, 0, milliseconds(900), milliseconds(0)});
     return message;
 }
 
@@ -37,6 +41,14 @@
 {
     const auto read = decodeGossip(encodeGossip(sample()));
     REQUIRE(read);
+    REQUIRE(read->rateLimits.size() == 2);
+    CHECK(read->rateLimits[0].upstream == 18);
+    CHECK(read->rateLimits[0].perSecond == 1.4);
+    CHECK(read->rateLimits[0].namedAge == milliseconds(300));
+    CHECK_FALSE(read->rateLimits[0].endedAge);
+    CHECK(read->rateLimits[1].endedAge == milliseconds(0));
+    CHECK_FALSE(read->permitRequest);
+    CHECK_FALSE(read->permit);
     CHECK(read->self.name == "one");
     CHECK(read->self.serving);
     CHECK(read->self.strength == 7);
@@ -78,6 +90,33 @@
     CHECK_FALSE(decodeGossip(encodeGossip(without))->loads);
 }
 
+TEST_CASE("heartbeat: a request for a permit and its reply keep their values, and a rate that is no number "
+          "is dropped")
+{
+    GossipMessage message;
+    message.self.name = "one";
+    message.permitRequest = {5, {18, 1.4, milliseconds(70)}};
+    const auto request = decodeGossip(encodeGossip(message));
+    REQUIRE(request);
+    REQUIRE(request->permitRequest);
+    CHECK(request->permitRequest->id == 5);
+    CHECK(request->permitRequest->content.upstream == 18);
+    CHECK(request->permitRequest->content.perSecond == 1.4);
+    CHECK(request->permitRequest->content.maxDelay == milliseconds(70));
+    message.permitRequest->content.perSecond = std::numeric_limits<double>::quiet_NaN();
+    message.permit = {6, {true, milliseconds(30)}};
+    message.rateLimits.push_back(
+        {18, std::numeric_limits<double>::infinity(), milliseconds(0), std::nullopt});
+    const auto reply = decodeGossip(encodeGossip(message));
+    REQUIRE(reply);
+    CHECK_FALSE(reply->permitRequest);
+    CHECK(reply->rateLimits.empty());
+    REQUIRE(reply->permit);
+    CHECK(reply->permit->id == 6);
+    CHECK(reply->permit->content.granted);
+    CHECK(reply->permit->content.delay == milliseconds(30));
+}
+
 TEST_CASE("heartbeat: malformed bytes are rejected without a crash")
 {
     CHECK_FALSE(decodeGossip({}));
--- a/tests/policy/membershiptest.cpp
+++ b/tests/policy/membershiptest.cpp
@@ -39,6 +39,7 @@
             if (dead.contains(name))
                 continue;
             membership.checkHub(now);
+            membership.checkActive(now);
             const bool gossips = !membership.isLarge(now) || m_round % Membership::RoundsPerGossip == 0;
             std::vector<std::string> targets =
                 gossips ? membership.gossipTargets(now, m_round) : std::vector<std::string>();
@@ -83,6 +84,21 @@
         return largest;
     }
 
+    /// Names of the instances that rank first for a key in the view of any live one, and of those that are
+    /// settled.
+    [[nodiscard]] std::set<std::string> firstRanked(std::uint64_t key, Instant now, bool onlySettled,
+                                                    const std::set<std::string> &dead = {}) const
+    {
+        std::set<std::string> names;
+        for (const auto &[name, membership] : m_memberships) {
+            if (dead.contains(name) || (onlySettled && !membership.isSettled(now)))
+                continue;
+            const auto first = membership.firstRanked(key, now);
+            names.insert(first ? first->name : name);
+        }
+        return names;
+    }
+
 private:
     Membership &find(const std::string &name)
     {
@@ -247,3 +263,29 @@
     freshness.confirm(3, seconds(8));
     CHECK(*freshness.age(seconds(14)) == seconds(4));
 }
+
+TEST_CASE("membership: all settled instances rank the same one first for a key, also after losses")
+{
+    for (const int size : {2, 6, 8, 80}) {
+        CAPTURE(size);
+        MembershipModel model(size);
+        Instant now{};
+        const auto run = [&](int rounds, const std::set<std::string> &dead) {
+            for (int i = 0; i < rounds; ++i) {
+                now += Membership::HeartbeatPeriod;
+                model.round(now, dead);
+                CHECK(model.firstRanked(7, now, true, dead).size() <= 1);
+            }
+        };
+        run(100, {});
+        const auto before = model.firstRanked(7, now, true);
+        REQUIRE(before.size() == 1);
+        CHECK(model.firstRanked(7, now, false) == before);
+        run(100, before);
+        const auto after = model.firstRanked(7, now, false, before);
+        REQUIRE(after.size() == 1);
+        CHECK(after != before);
+        // One of two can't tell a loss from a division.
+        CHECK(model.firstRanked(7, now, true, before).size() == (size == 2 ? 0 : 1));
+    }
+}
