Log the era that the store states

Nothing in the logs showed that a store had been restored from an older copy: its history may also be short. The adapter reads the era of each response; a new event tells when it changes.

--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -77,7 +77,9 @@
             followPeer(m_source, fiber);
             continue;
         }
-        if (m_fullReadDone ? followStore(fiber) : readAll(fiber)) {
+        const bool hasAnswered = m_fullReadDone ? followStore(fiber) : readAll(fiber);
+        noteEra();
+        if (hasAnswered) {
             m_selector.recordStoreAnswer();
             continue;
         }
@@ -237,6 +239,18 @@
     m_state.catalog.recordStoreLost(m_confirmedAt);
 }
 
+void StoreWatcher::noteEra()
+{
+    const std::uint64_t era = m_storeClient.era();
+    if (era == m_statedEra)
+        return;
+    log(LogLevel::Info, "store-era",
+        {{"era", static_cast<std::int64_t>(era)},
+         {"former", static_cast<std::int64_t>(m_statedEra)},
+         {"revision", static_cast<std::int64_t>(m_changeLog.revision())}});
+    m_statedEra = era;
+}
+
 void StoreWatcher::confirmTable(Instant at)
 {
     if (const auto &table = m_state.catalog.table())
--- a/src/daemon/storewatcher.h
+++ b/src/daemon/storewatcher.h
@@ -73,6 +73,8 @@
     /// Removes the upstreams, and the zones out of service, whose keys a full read has not returned.
     void removeUnseen(const std::set<std::string> &seen, std::uint64_t revision, Instant time);
     void confirmTable(Instant at);
+    /// Logs that the store states another era than before.
+    void noteEra();
     /// Records that a call to the store failed. It counts as an outage unless a peer can be followed instead.
     void recordFailure(bool hasUsablePeer);
     /// Records that no source confirms the local copy any more.
@@ -98,6 +100,8 @@
     FeedSelector m_selector;
     FeedSource m_source;
     Instant m_startedAt{};
+    /// The era that the store has stated last; 0 before its first response.
+    std::uint64_t m_statedEra = 0;
     RevisionLagDetector m_lagDetector;
 };
 
