--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <list>
+#include <tuple>
 
 namespace chestnutsill::standin {
 
@@ -41,8 +42,9 @@
 
 /// Stand-in for the platform's store as instances read it, with paged ranges, long-polling watches and a
 /// history that can be dropped. Operators and upstreams write with PUT and DELETE /item?key=KEY. Commands to
-/// /control have the fields `mode` (pass, refuse, silent) and `dropHistory`. Options: listen, page (items per
-/// page).
+/// /control have the fields `mode` (pass, refuse, silent), `dropHistory`, `copy` (keeps a copy of all items)
+/// and `restore` (returns to the copy, so that later revisions are given out again). Options: listen, page
+/// (items per page).
 class Store
 {
 public:
@@ -83,7 +85,7 @@
             return write(exchange, fiber);
         ++m_calls;
         if (m_mode == "refuse")
-            return respondJson(exchange, 503, json::object{}, fiber);
+            return answer(exchange, 503, json::object{}, fiber);
         if (m_mode == "silent")
             return sleepFor(std::chrono::seconds(30), fiber);
         if (request.target.starts_with("/api/kv-range"))
@@ -103,9 +105,28 @@
             m_history.clear();
             m_historyStart = m_revision;
         }
+        if (flag(command, "copy"))
+            m_copy = {m_items, m_history, m_historyStart, m_revision};
+        if (flag(command, "restore"))
+            restore();
         respondJson(exchange, 200, json::object{{"ok", true}}, fiber);
     }
 
+    void restore()
+    {
+        std::tie(m_items, m_history, m_historyStart, m_revision) = m_copy;
+        ++m_era;
+        for (boost::asio::steady_timer *timer : m_waiting)
+            timer->cancel();
+    }
+
+    /// Answers with the number of restorations, which all responses of the store state.
+    void answer(Exchange &exchange, int status, const json::value &value, const Fiber &fiber) const
+    {
+        exchange.respond(status, "application/json", json::serialize(value) + '\n',
+                         std::vector<HttpField>{{"Store-Era", std::to_string(m_era)}}, fiber);
+    }
+
     void write(Exchange &exchange, const Fiber &fiber)
     {
         const HttpRequest &request = exchange.request();
@@ -134,16 +155,17 @@
                 break;
             items.push_back(describe(item->second));
         }
-        respondJson(exchange, 200,
-                    json::object{{"items", std::move(items)}, {"has_more", more}, {"at", m_revision}}, fiber);
+        answer(exchange, 200,
+               json::object{{"items", std::move(items)}, {"has_more", more}, {"at", m_revision}}, fiber);
     }
 
     void watch(Exchange &exchange, const Fiber &fiber)
     {
         const std::string &target = exchange.request().target;
         const std::uint64_t after = queryNumber(target, "after");
-        if (after < m_historyStart)
-            return respondJson(exchange, 410, json::object{}, fiber);
+        const std::uint64_t era = m_era;
+        if (after < m_historyStart || after > m_revision)
+            return answer(exchange, 410, json::object{}, fiber);
         if (m_revision <= after) {
             boost::asio::steady_timer timer(fiber.get_executor(),
                                             milliseconds(queryNumber(target, "wait_ms")));
@@ -152,7 +174,7 @@
             timer.async_wait(fiber[ignored]);
             m_waiting.erase(position);
         }
-        if (m_mode != "pass")
+        if (m_mode != "pass" || era != m_era)
             return exchange.abort();
         const std::string prefix = query(target, "path_prefix");
         json::array events;
@@ -160,14 +182,19 @@
             if (item.revision > after && item.key.starts_with(prefix))
                 events.push_back(describe(item));
         }
-        respondJson(exchange, 200, json::object{{"events", std::move(events)}, {"at", m_revision}}, fiber);
+        answer(exchange, 200, json::object{{"events", std::move(events)}, {"at", m_revision}}, fiber);
     }
 
+    /// Items, history, the revision before it, and the revision of the copy.
+    using Copy = std::tuple<std::map<std::string, Item>, std::deque<Item>, std::uint64_t, std::uint64_t>;
+
     std::size_t m_page;
     std::map<std::string, Item> m_items;
     std::deque<Item> m_history;
     std::uint64_t m_historyStart = 0;
     std::uint64_t m_revision = 1;
+    Copy m_copy;
+    std::uint64_t m_era = 1;
     std::list<boost::asio::steady_timer *> m_waiting;
     std::string m_mode = "pass";
     std::int64_t m_calls = 0;
