Tell the eras of a restored store apart wherever a revision is kept or compared

With a store that returns to an older copy, requests went on to upstreams that had left, a new version or a zone out of service was never seen by instances that had been stopped or cut off, and upstreams that the copy lacked were dropped.

Cause: revisions were compared without asking to which history they belong, and a full read was taken for the present. Class of fault: a counter that restarts, used without an epoch.

Change: StoreRevision holds era and number; catalog, change log, feed, heartbeats, lag detector and watcher compare both. A response of another era leads to a full read; peers of an older era are not followed. What the copy lacks is kept for the time in which it can be written again, and an upstream that was leaving or gone is not used because the copy shows it.

Why it works: a revision of another era is never equal to or newer than a known one of the same number, so that no change can be skipped or undone by it; what only time can tell waits for that time.

--- a/include/chestnutsill/fwd.h
+++ b/include/chestnutsill/fwd.h
@@ -78,6 +78,7 @@
 struct Service;
 struct ServiceTimeModel;
 struct SlotRequest;
+struct StoreRevision;
 struct SuspectPart;
 struct Ticket;
 struct Tier;
--- a/include/chestnutsill/peer/feed.h
+++ b/include/chestnutsill/peer/feed.h
@@ -16,13 +16,13 @@
 {
     std::vector<PublishedItem> items;
     /// Store revision up to which the instance has applied all changes.
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     /// Age of its confirmation that nothing newer is published; empty when it was never confirmed.
     std::optional<milliseconds> confirmedAge;
     /// Remaining time for which it delays the removal of entries that lapsed during an outage of the store.
     milliseconds removalsDelayedFor{};
     /// Whether `items` are all items at `revision` instead of changes: the follower has none yet, or the
-    /// changes since its revision are no longer kept.
+    /// changes since its revision are no longer kept or it is of another era.
     bool isSnapshot = false;
 };
 
--- a/include/chestnutsill/peer/gossipmessage.h
+++ b/include/chestnutsill/peer/gossipmessage.h
@@ -3,6 +3,7 @@
 #include "chestnutsill/policy/crashtracker.h"
 #include "chestnutsill/policy/membership.h"
 #include "chestnutsill/policy/requestpermits.h"
+#include "chestnutsill/policy/storerevision.h"
 #include "chestnutsill/policy/upstreamload.h"
 #include "chestnutsill/policy/upstreamratelimits.h"
 
@@ -58,7 +59,7 @@
     /// Hashes of the names of instances that the sender has no status of and asks for.
     std::vector<std::uint32_t> unknownInstances;
     /// Store revision up to which the sender has applied all changes.
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     /// How long the sender has followed the store without a gap; 0 when it can't read the store.
     milliseconds followedFor{};
     /// Fingerprints of requests that were suspected of causing a crash and have since completed.
--- a/include/chestnutsill/policy/catalog.h
+++ b/include/chestnutsill/policy/catalog.h
@@ -2,6 +2,7 @@
 
 #include "chestnutsill/policy/instant.h"
 #include "chestnutsill/policy/routing.h"
+#include "chestnutsill/policy/storerevision.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -40,11 +41,13 @@
 {
     UpstreamEntry entry;
     /// Store revision of the entry.
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     /// End of its cold start.
     Instant coldUntil{};
     /// When to remove the upstream; set if its entry disappeared during or shortly after a store outage.
     std::optional<Instant> removeAt;
+    /// Until when it is not used; set if a restored store shows it although it had been removed before.
+    std::optional<Instant> withheldUntil;
 };
 
 /// The routing table, upstream entries and availability zones out of service, as far as this instance has
@@ -55,6 +58,12 @@
     /// Time after a store outage for which removals are delayed. Live upstreams whose leases expired in the
     /// outage publish their entries again within about this time.
     static constexpr milliseconds RemovalDelay{2200};
+    /// Time for which an upstream that had been removed is not used if a restored store shows it again. The
+    /// entry of one that has gone lapses within it.
+    static constexpr milliseconds ReturnDelay{5000};
+    /// Time for which removed upstreams are remembered: longer than a copy is old from which a store is
+    /// restored.
+    static constexpr std::chrono::seconds RemovalMemory{60};
 
     /// Puts a routing table into force if it is not null and its version is higher than that of the current
     /// one. Returns whether it did.
@@ -73,14 +82,20 @@
         return m_zonesOutOfService;
     }
 
+    /// Puts an availability zone back that the copy lacks from which the store was restored. This is delayed
+    /// like removals of upstreams, until when it may be taken out again.
+    void returnZoneOfRestoredStore(std::string_view zone, Instant now);
+
     /// Adds or updates an upstream, unless a newer revision of its entry is known. A changed `startUnixMs`
-    /// counts as a restart and begins a new cold start.
-    void updateUpstream(UpstreamEntry entry, std::uint64_t revision, Instant now);
+    /// counts as a restart and begins a new cold start. The first entry of a new era may come from the copy
+    /// from which the store was restored: an upstream that was leaving is still taken to leave then, and one
+    /// that had been removed is not used for `ReturnDelay`, unless it has been restarted. Later writes hold.
+    void updateUpstream(UpstreamEntry entry, StoreRevision revision, Instant now);
 
     /// Removes an upstream whose entry has disappeared from the store, unless a newer revision is known.
     /// During and shortly after a store outage the removal is delayed, because leases of live upstreams
     /// expire too.
-    void removeUpstream(std::string_view id, std::uint64_t revision, Instant now);
+    void removeUpstream(std::string_view id, StoreRevision revision, Instant now);
 
     /// Begins a new cold start of an upstream that appears to have restarted, for example because it refused
     /// a connection. It lasts as long as a cold start of its service.
@@ -108,7 +123,8 @@
     /// End of the time in which removals are delayed.
     [[nodiscard]] Instant removalsDelayedUntil() const noexcept { return m_removalsDelayedUntil; }
 
-    /// Removes the upstreams whose removal was delayed until now or earlier, unless the store is unreachable.
+    /// Removes the upstreams, and puts back the zones, for which this was delayed until now or earlier,
+    /// unless the store is unreachable, and uses upstreams that were withheld until then.
     void removeExpired(Instant now);
 
     /// Upstreams of a service that accept new requests, ordered by id.
@@ -128,10 +144,23 @@
 private:
     [[nodiscard]] bool isUsable(const UpstreamRecord &record) const;
     [[nodiscard]] milliseconds coldStartOf(std::string_view service) const;
+    /// Removes an upstream and remembers it for `RemovalMemory`.
+    void erase(std::string_view id, Instant now);
+
+    /// An upstream that has been removed.
+    struct RemovedUpstream
+    {
+        std::int64_t startUnixMs = 0;
+        std::uint64_t era = 0;
+        Instant at{};
+    };
 
     std::shared_ptr<const RoutingTable> m_table;
     std::set<std::string, std::less<>> m_zonesOutOfService;
     std::map<std::string, UpstreamRecord, std::less<>> m_upstreams;
+    std::map<std::string, RemovedUpstream, std::less<>> m_removedUpstreams;
+    /// Zones that are put back at an instant.
+    std::map<std::string, Instant, std::less<>> m_zoneReturns;
     bool m_storeLost = false;
     Instant m_storeLostSince{};
     Instant m_removalsDelayedUntil{};
--- a/include/chestnutsill/policy/changelog.h
+++ b/include/chestnutsill/policy/changelog.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "chestnutsill/policy/storerevision.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -16,7 +18,7 @@
 {
     std::string key;
     std::string value;
-    /// Store revision of its last change.
+    /// Store revision of its last change, in the era of the response that holds the item.
     std::uint64_t revision = 0;
     bool deleted = false;
 };
@@ -31,27 +33,27 @@
     static constexpr std::size_t MaxChanges = 2048;
 
     /// Replaces all items by those of a full read of the store at this revision, and clears the log.
-    void restart(std::vector<PublishedItem> items, std::uint64_t revision);
+    void restart(std::vector<PublishedItem> items, StoreRevision revision);
 
-    /// Appends a change. Changes must be added in the order of their revisions.
+    /// Appends a change of the same era. Changes must be added in the order of their revisions.
     void add(PublishedItem item);
 
-    /// Records that all changes up to this revision have been added.
+    /// Records that all changes up to this revision of the same era have been added.
     void advance(std::uint64_t revision);
 
-    /// Changes after a revision, or nothing if some of them have been discarded.
-    [[nodiscard]] std::optional<std::vector<PublishedItem>> since(std::uint64_t after) const;
+    /// Changes after a revision, or nothing if some of them have been discarded or it is of another era.
+    [[nodiscard]] std::optional<std::vector<PublishedItem>> since(StoreRevision after) const;
 
     /// All items that exist at `revision()`.
     [[nodiscard]] std::vector<PublishedItem> snapshot() const;
 
     /// Revision up to which the store has been read.
-    [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
+    [[nodiscard]] StoreRevision revision() const noexcept { return m_revision; }
 
 private:
     /// Changes up to this revision have been discarded.
     std::uint64_t m_discardedUpTo = 0;
-    std::uint64_t m_revision = 0;
+    StoreRevision m_revision;
     std::deque<PublishedItem> m_changes;
     std::map<std::string, PublishedItem, std::less<>> m_items;
 };
--- a/include/chestnutsill/policy/revisionlagdetector.h
+++ b/include/chestnutsill/policy/revisionlagdetector.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "chestnutsill/policy/instant.h"
+#include "chestnutsill/policy/storerevision.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <optional>
 
 namespace chestnutsill {
@@ -17,7 +17,7 @@
     static constexpr milliseconds MaxLag{300};
 
     /// Records the revision up to which a peer has read, and that of this instance.
-    void recordPeerRevision(std::uint64_t peerRevision, std::uint64_t ownRevision, Instant now) noexcept
+    void recordPeerRevision(StoreRevision peerRevision, StoreRevision ownRevision, Instant now) noexcept
     {
         m_newestPeerRevision = std::max(m_newestPeerRevision, peerRevision);
         if (ownRevision >= m_newestPeerRevision)
@@ -27,7 +27,7 @@
     }
 
     /// Records the revision up to which this instance has read.
-    void recordOwnRevision(std::uint64_t ownRevision) noexcept
+    void recordOwnRevision(StoreRevision ownRevision) noexcept
     {
         if (ownRevision >= m_newestPeerRevision)
             m_behindSince.reset();
@@ -47,7 +47,7 @@
     }
 
 private:
-    std::uint64_t m_newestPeerRevision = 0;
+    StoreRevision m_newestPeerRevision;
     std::optional<Instant> m_behindSince;
 };
 
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -94,6 +94,9 @@
     /// Serves one request of a caller.
     void handle(Exchange &exchange, const Fiber &fiber);
 
+    /// Whether the table was confirmed recently enough for API keys to be accepted.
+    [[nodiscard]] bool isKeyFresh() const;
+
     /// Detects and verifies silent upstreams until the process ends.
     void monitorSilence(boost::asio::io_context &io, const Fiber &fiber);
 
@@ -149,7 +152,6 @@
     void retryElsewhere(const std::string &upstream);
     void respond(RequestContext &context, const Answer &answer, const Fiber &fiber) const;
     void recordOutcome(const RequestContext &context, const std::optional<Answer> &answer);
-    [[nodiscard]] bool isKeyFresh() const;
     /// Refuses a request with status 503 and the verdict that it has not run.
     [[nodiscard]] Answer refuseNotRun(std::string_view reason, std::string_view message) const;
     /// Refuses a request for something that the table doesn't hold. `status` is used only if the table was
--- a/src/daemon/peerfeed.cpp
+++ b/src/daemon/peerfeed.cpp
@@ -33,7 +33,7 @@
 void FeedServer::serve(Exchange &exchange, const Fiber &fiber)
 {
     const std::string_view target = exchange.request().target;
-    const std::uint64_t after = queryNumber(target, "after");
+    const StoreRevision after{queryNumber(target, "era"), queryNumber(target, "after")};
     const milliseconds wait(std::min<milliseconds::rep>(
         static_cast<milliseconds::rep>(queryNumber(target, "wait")), MaxPollDuration.count()));
     auto answer = m_answer(after);
@@ -59,11 +59,12 @@
         timer->cancel();
 }
 
-std::optional<FeedAnswer> FeedClient::follow(const FeedSource &source, std::uint64_t after, milliseconds wait,
+std::optional<FeedAnswer> FeedClient::follow(const FeedSource &source, StoreRevision after, milliseconds wait,
                                              milliseconds timeout, const Fiber &fiber)
 {
-    const std::string target = std::string(FeedPath) + "?after=" + std::to_string(after) + "&wait="
-                               + std::to_string(wait.count()) + (source.acceptsStale ? "&stale=1" : "");
+    const std::string target = std::string(FeedPath) + "?after=" + std::to_string(after.number)
+                               + "&era=" + std::to_string(after.era) + "&wait=" + std::to_string(wait.count())
+                               + (source.acceptsStale ? "&stale=1" : "");
     const auto response = m_client.call(source.peer, {.target = target}, MaxAnswerBytes, timeout, fiber);
     if (!response) {
         m_reason = m_client.lastReason();
--- a/src/daemon/peerfeed.h
+++ b/src/daemon/peerfeed.h
@@ -27,7 +27,7 @@
 public:
     /// `answer` returns the changes after a revision, or a snapshot. It returns nothing until this instance
     /// has read all items.
-    explicit FeedServer(std::function<std::optional<FeedAnswer>(std::uint64_t after)> answer)
+    explicit FeedServer(std::function<std::optional<FeedAnswer>(StoreRevision after)> answer)
         : m_answer(std::move(answer))
     {}
 
@@ -39,7 +39,7 @@
     void wake();
 
 private:
-    std::function<std::optional<FeedAnswer>(std::uint64_t after)> m_answer;
+    std::function<std::optional<FeedAnswer>(StoreRevision after)> m_answer;
     std::list<boost::asio::steady_timer *> m_waiting;
 };
 
@@ -50,7 +50,7 @@
     /// Polls the source's peer for changes after a revision; the peer waits for them up to `wait`. Returns
     /// nothing and sets `lastReason` when the peer does not respond within `timeout` or has not read all
     /// items yet.
-    [[nodiscard]] std::optional<FeedAnswer> follow(const FeedSource &source, std::uint64_t after,
+    [[nodiscard]] std::optional<FeedAnswer> follow(const FeedSource &source, StoreRevision after,
                                                    milliseconds wait, milliseconds timeout,
                                                    const Fiber &fiber);
 
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -110,13 +110,13 @@
         , m_storeWatcher(settings.storeAddress, LongPollDuration, m_state,
                          {[this](std::string_view text) { applyTable(text); },
                           [this] { return m_state.membership.feedCandidates(now()); },
-                          [this] { m_feedServer.wake(); }})
-        , m_feedServer([this](std::uint64_t after) { return m_storeWatcher.feedAnswer(after); })
+                          [this] { return m_router.isKeyFresh(); }, [this] { m_feedServer.wake(); }})
+        , m_feedServer([this](StoreRevision after) { return m_storeWatcher.feedAnswer(after); })
         , m_gossip(m_io, peerAddress(settings.ip, settings), seedAddresses(settings), m_state,
                    {[this] { return self(); }, [this] { return m_storeWatcher.revision(); },
                     [this] { return m_storeWatcher.followedFor(now()); },
                     [this](const std::string &peer, std::uint64_t version) { fetchTable(peer, version); },
-                    [this](std::uint64_t revision) { m_storeWatcher.recordPeerRevision(revision); }})
+                    [this](StoreRevision revision) { m_storeWatcher.recordPeerRevision(revision); }})
         , m_callerServer(
               m_io, settings.callerListen, [this] { return callerLimits(); },
               [this](Exchange &exchange, const Fiber &fiber) { m_router.handle(exchange, fiber); })
--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -87,7 +87,7 @@
             m_selector.recordStoreAnswer();
             m_fullReadDone = false;
             log(LogLevel::Info, "store-history-gone",
-                {{"revision", static_cast<std::int64_t>(m_changeLog.revision())}});
+                {{"revision", static_cast<std::int64_t>(m_changeLog.revision().number)}});
         } else {
             m_selector.recordStoreFailure(now());
             recordFailure(m_selector.hasUsablePeer(candidates, now()));
@@ -96,7 +96,7 @@
     }
 }
 
-void StoreWatcher::recordPeerRevision(std::uint64_t revision)
+void StoreWatcher::recordPeerRevision(StoreRevision revision)
 {
     if (!m_fullReadDone)
         return;
@@ -108,11 +108,11 @@
     m_feedClient.cancel();
 }
 
-std::optional<FeedAnswer> StoreWatcher::feedAnswer(std::uint64_t after) const
+std::optional<FeedAnswer> StoreWatcher::feedAnswer(StoreRevision after) const
 {
     if (!m_fullReadDone)
         return std::nullopt;
-    auto changes = after == 0 ? std::nullopt : m_changeLog.since(after);
+    auto changes = after.number == 0 ? std::nullopt : m_changeLog.since(after);
     const Instant time = now();
     FeedAnswer answer;
     answer.isSnapshot = !changes;
@@ -133,15 +133,19 @@
     auto answer = m_feedClient.follow(source, revision(), FeedPollDuration,
                                       FeedPollDuration + FeedResponseTimeout, fiber);
     const bool fresh = answer && isFresh(*answer);
-    if (!answer || (!fresh && !source.acceptsStale)) {
+    const bool isOlder = answer && answer->revision.era < era();
+    if (!answer || isOlder || (!fresh && !source.acceptsStale)) {
         log(LogLevel::Info, "peer-feed-left",
             {{"peer", source.peer},
-             {"reason", answer ? std::string("its confirmation is too old") : m_feedClient.lastReason()},
+             {"reason", isOlder  ? std::string("it has not read the restored store yet")
+                        : answer ? std::string("its confirmation is too old")
+                                 : m_feedClient.lastReason()},
              {"confirmedAgeMs", static_cast<std::int64_t>(
                                     answer && answer->confirmedAge ? answer->confirmedAge->count() : -1)}});
     }
-    // Changes alone are of no use without the items that they change.
-    if (!answer || (!m_fullReadDone && !answer->isSnapshot)) {
+    // Changes alone are of no use without the items that they change, and those of another era change others.
+    const bool hasItems = answer && m_fullReadDone && isSameEra(answer->revision);
+    if (!answer || isOlder || (!answer->isSnapshot && !hasItems)) {
         m_selector.recordPeerFailure(source.peer, now());
         return;
     }
@@ -173,32 +177,48 @@
         recordOutage("the newest confirmation of any peer is too old");
 }
 
-void StoreWatcher::applySnapshot(std::vector<PublishedItem> items, std::uint64_t revision)
+void StoreWatcher::applySnapshot(std::vector<PublishedItem> items, StoreRevision revision)
 {
     const Instant time = now();
+    const bool isRestored = m_changeLog.revision().number > 0 && !isSameEra(revision);
+    if (isRestored) {
+        log(LogLevel::Warning, "store-restored",
+            {{"era", static_cast<std::int64_t>(revision.era)},
+             {"revision", static_cast<std::int64_t>(revision.number)},
+             {"formerRevision", static_cast<std::int64_t>(m_changeLog.revision().number)}});
+        // What the copy lacks is written again, as after an outage in which leases expire.
+        m_isFollowing = false;
+        m_state.catalog.recordStoreLost(m_confirmedAt);
+        // An instance that had not followed the store for long may have missed a table that the copy lacks
+        // too.
+        if (!m_handlers.isKeyFresh())
+            m_unconfirmedUntil = time + Catalog::RemovalDelay;
+    }
     std::set<std::string> seen;
     for (const PublishedItem &item : items) {
-        applyItem(item, time);
+        applyItem(item, revision.era, time);
         seen.insert(item.key);
     }
-    removeUnseen(seen, revision, time);
+    removeUnseen(seen, revision, isRestored, time);
     log(LogLevel::Info, "all-items-read",
         {{"source", m_source.peer.empty() ? std::string("store") : m_source.peer},
          {"items", static_cast<std::int64_t>(items.size())},
-         {"revision", static_cast<std::int64_t>(revision)}});
+         {"revision", static_cast<std::int64_t>(revision.number)}});
     m_changeLog.restart(std::move(items), revision);
     m_lagDetector.recordOwnRevision(revision);
     m_fullReadDone = true;
     m_handlers.onChanges();
 }
 
-void StoreWatcher::applyChanges(const std::vector<PublishedItem> &items, std::uint64_t revision)
+void StoreWatcher::applyChanges(const std::vector<PublishedItem> &items, StoreRevision revision)
 {
     for (const PublishedItem &item : items) {
-        applyItem(item, now());
+        applyItem(item, revision.era, now());
+        if (platform::parseItemKey(item.key).kind == platform::ItemKey::Kind::Table)
+            m_unconfirmedUntil = Instant{};
         m_changeLog.add(item);
     }
-    m_changeLog.advance(revision);
+    m_changeLog.advance(revision.number);
     m_lagDetector.recordOwnRevision(m_changeLog.revision());
     if (!items.empty())
         m_handlers.onChanges();
@@ -217,7 +237,8 @@
     m_isFollowing = true;
     m_followingSince = now();
     m_state.catalog.recordStoreRegained(m_followingSince);
-    log(LogLevel::Info, "store-regained", {{"revision", static_cast<std::int64_t>(m_changeLog.revision())}});
+    log(LogLevel::Info, "store-regained",
+        {{"revision", static_cast<std::int64_t>(m_changeLog.revision().number)}});
     // Followers that stayed with this instance wait for a fresh confirmation.
     m_handlers.onChanges();
 }
@@ -247,13 +268,14 @@
     log(LogLevel::Info, "store-era",
         {{"era", static_cast<std::int64_t>(era)},
          {"former", static_cast<std::int64_t>(m_statedEra)},
-         {"revision", static_cast<std::int64_t>(m_changeLog.revision())}});
+         {"revision", static_cast<std::int64_t>(m_changeLog.revision().number)}});
     m_statedEra = era;
 }
 
 void StoreWatcher::confirmTable(Instant at)
 {
-    if (const auto &table = m_state.catalog.table())
+    const auto &table = m_state.catalog.table();
+    if (table && at >= m_unconfirmedUntil)
         m_state.freshness.confirm(table->version, at);
 }
 
@@ -261,19 +283,25 @@
 {
     const Instant start = now();
     std::vector<PublishedItem> items;
-    std::uint64_t firstRevision = 0;
+    StoreRevision firstRevision;
     for (;;) {
         const std::string after = items.empty() ? std::string() : items.back().key;
         auto page = m_storeClient.readPage(AllItems, after, ResponseTimeout, fiber);
         if (!page)
             return false;
-        if (after.empty())
+        if (after.empty()) {
             firstRevision = page->revision;
+        } else if (page->revision.era != firstRevision.era) {
+            items.clear();
+            continue;
+        }
         const bool isLast = !page->hasMore || page->items.empty();
         std::move(page->items.begin(), page->items.end(), std::back_inserter(items));
         if (isLast)
             break;
     }
+    if (firstRevision.era < era())
+        return false;
     // Pages are not a consistent snapshot, so all changes since the first page are read again.
     applySnapshot(std::move(items), firstRevision);
     confirmTable(start);
@@ -281,7 +309,8 @@
     return true;
 }
 
-void StoreWatcher::removeUnseen(const std::set<std::string> &seen, std::uint64_t revision, Instant time)
+void StoreWatcher::removeUnseen(const std::set<std::string> &seen, StoreRevision revision, bool isRestored,
+                                Instant time)
 {
     std::vector<std::string> gone;
     for (const auto &[id, record] : m_state.catalog.upstreams()) {
@@ -292,7 +321,11 @@
         m_state.catalog.removeUpstream(id, revision, time);
     const auto zones = m_state.catalog.zonesOutOfService();
     for (const std::string &zone : zones) {
-        if (!seen.contains(platform::zoneOutOfServiceKey(zone)))
+        if (seen.contains(platform::zoneOutOfServiceKey(zone)))
+            continue;
+        if (isRestored)
+            m_state.catalog.returnZoneOfRestoredStore(zone, time);
+        else
             m_state.catalog.setZoneOutOfService(zone, false);
     }
 }
@@ -302,9 +335,13 @@
     const Instant start = now();
     const milliseconds wait = storePollDuration(start - m_confirmedAt, m_pollDuration);
     const auto changes =
-        m_storeClient.watch(AllItems, m_changeLog.revision(), wait, wait + ResponseTimeout, fiber);
+        m_storeClient.watch(AllItems, m_changeLog.revision().number, wait, wait + ResponseTimeout, fiber);
     if (!changes)
         return false;
+    if (!isSameEra(changes->revision)) {
+        m_fullReadDone = false;
+        return true;
+    }
     applyChanges(changes->items, changes->revision);
     const Instant confirmedAt = confirmedAtOf(changes->items, start, wait);
     confirmTable(confirmedAt);
@@ -314,7 +351,7 @@
     return true;
 }
 
-void StoreWatcher::applyItem(const PublishedItem &item, Instant time)
+void StoreWatcher::applyItem(const PublishedItem &item, std::uint64_t era, Instant time)
 {
     const platform::ItemKey key = platform::parseItemKey(item.key);
     switch (key.kind) {
@@ -328,14 +365,15 @@
         m_state.catalog.setZoneOutOfService(key.name, !item.deleted);
         break;
     case platform::ItemKey::Kind::Upstream:
-        applyUpstreamEntry(key.name, item, time);
+        applyUpstreamEntry(key.name, item, era, time);
         break;
     case platform::ItemKey::Kind::Other:
         break;
     }
 }
 
-void StoreWatcher::applyUpstreamEntry(std::string_view id, const PublishedItem &item, Instant time)
+void StoreWatcher::applyUpstreamEntry(std::string_view id, const PublishedItem &item, std::uint64_t era,
+                                      Instant time)
 {
     ValidationErrors errors;
     auto entry = item.deleted ? std::nullopt : platform::parseUpstreamEntry(id, item.value, errors);
@@ -349,9 +387,9 @@
          {"reason", errorText(errors)},
          {"revision", static_cast<std::int64_t>(item.revision)}});
     if (entry)
-        m_state.catalog.updateUpstream(std::move(*entry), item.revision, time);
+        m_state.catalog.updateUpstream(std::move(*entry), {era, item.revision}, time);
     else
-        m_state.catalog.removeUpstream(id, item.revision, time);
+        m_state.catalog.removeUpstream(id, {era, item.revision}, time);
 }
 
 } // namespace chestnutsill
--- a/src/daemon/storewatcher.h
+++ b/src/daemon/storewatcher.h
@@ -27,6 +27,8 @@
         std::function<void(std::string_view text)> onTable;
         /// Returns the peers that may relay the store's changes to this instance.
         std::function<FeedCandidates()> feedCandidates;
+        /// Returns whether the last confirmation is recent enough for API keys to be accepted.
+        std::function<bool()> isKeyFresh;
         /// Called when there are changes to relay to this instance's followers.
         std::function<void()> onChanges;
     };
@@ -39,9 +41,9 @@
     void run(const Fiber &fiber);
 
     /// Store revision up to which all changes have been applied; 0 until a full read is complete.
-    [[nodiscard]] std::uint64_t revision() const noexcept
+    [[nodiscard]] StoreRevision revision() const noexcept
     {
-        return m_fullReadDone ? m_changeLog.revision() : 0;
+        return m_fullReadDone ? m_changeLog.revision() : StoreRevision{};
     }
 
     /// How long this instance has followed the store without a gap, directly or through a peer; 0 while it
@@ -50,11 +52,11 @@
 
     /// Records that a peer has applied changes up to `revision`. Switches to another source if this instance
     /// has been behind for too long.
-    void recordPeerRevision(std::uint64_t revision);
+    void recordPeerRevision(StoreRevision revision);
 
-    /// Changes after a revision for a follower, or a snapshot if the revision is 0 or changes since it are no
-    /// longer kept. Nothing until this instance has read all items.
-    [[nodiscard]] std::optional<FeedAnswer> feedAnswer(std::uint64_t after) const;
+    /// Changes after a revision for a follower, or a snapshot if the revision is 0, changes since it are no
+    /// longer kept, or it is of another era. Nothing until this instance has read all items.
+    [[nodiscard]] std::optional<FeedAnswer> feedAnswer(StoreRevision after) const;
 
 private:
     // Return false if the store has not responded.
@@ -62,16 +64,23 @@
     [[nodiscard]] bool followStore(const Fiber &fiber);
     /// Polls a peer once and records in the selector how it answered.
     void followPeer(const FeedSource &source, const Fiber &fiber);
-    void applyChanges(const std::vector<PublishedItem> &items, std::uint64_t revision);
+    /// Applies changes up to a revision of the current era.
+    void applyChanges(const std::vector<PublishedItem> &items, StoreRevision revision);
     /// Replaces the local copy by all items at a revision.
-    void applySnapshot(std::vector<PublishedItem> items, std::uint64_t revision);
-    void applyItem(const PublishedItem &item, Instant time);
-    void applyUpstreamEntry(std::string_view id, const PublishedItem &item, Instant time);
+    void applySnapshot(std::vector<PublishedItem> items, StoreRevision revision);
+    void applyItem(const PublishedItem &item, std::uint64_t era, Instant time);
+    void applyUpstreamEntry(std::string_view id, const PublishedItem &item, std::uint64_t era, Instant time);
+    /// Era of the store to which the local copy belongs; 0 before the first full read.
+    [[nodiscard]] std::uint64_t era() const noexcept { return m_changeLog.revision().era; }
+    /// Whether a response belongs to the era of the local copy. Otherwise its changes are not those since the
+    /// revision that was asked for.
+    [[nodiscard]] bool isSameEra(StoreRevision revision) const noexcept { return revision.era == era(); }
     /// Waits a short time until peers are known, so that this instance can tell whether it has joined a large
     /// cluster.
     void waitForPeers(const Fiber &fiber) const;
     /// Removes the upstreams, and the zones out of service, whose keys a full read has not returned.
-    void removeUnseen(const std::set<std::string> &seen, std::uint64_t revision, Instant time);
+    void removeUnseen(const std::set<std::string> &seen, StoreRevision revision, bool isRestored,
+                      Instant time);
     void confirmTable(Instant at);
     /// Logs that the store states another era than before.
     void noteEra();
@@ -100,6 +109,8 @@
     FeedSelector m_selector;
     FeedSource m_source;
     Instant m_startedAt{};
+    /// Until when a restored store, which may lack the newest table, does not confirm that in force.
+    Instant m_unconfirmedUntil{};
     /// The era that the store has stated last; 0 before its first response.
     std::uint64_t m_statedEra = 0;
     RevisionLagDetector m_lagDetector;
--- a/src/daemon/udpgossip.cpp
+++ b/src/daemon/udpgossip.cpp
@@ -153,7 +153,9 @@
         m_handlers.onNewerTable(message.self.peerAddress, message.tableVersion);
     else if (message.tableVersion == ownVersion && table)
         confirmFreshness(message, ownVersion, time);
-    m_state.catalog.recordPeerFollowed(message.followedFor, time);
+    // A peer of an older era has followed a store that was restored since.
+    if (message.revision.era == m_handlers.revision().era)
+        m_state.catalog.recordPeerFollowed(message.followedFor, time);
     if (message.revision > m_handlers.revision())
         m_handlers.onNewerRevision(message.revision);
     replyTo(message, time);
--- a/src/daemon/udpgossip.h
+++ b/src/daemon/udpgossip.h
@@ -28,13 +28,13 @@
     {
         std::function<InstanceStatus()> self;
         /// Returns the store revision up to which this instance has applied all changes.
-        std::function<std::uint64_t()> revision;
+        std::function<StoreRevision()> revision;
         /// Returns how long this instance has followed the store without a gap.
         std::function<milliseconds()> followedFor;
         /// Called for each heartbeat of a peer that has a newer routing table.
         std::function<void(const std::string &peerAddress, std::uint64_t version)> onNewerTable;
         /// Called for each heartbeat of a peer that has applied a newer store revision.
-        std::function<void(std::uint64_t revision)> onNewerRevision;
+        std::function<void(StoreRevision revision)> onNewerRevision;
     };
 
     /// Binds to `address` (IP address and port); throws `std::runtime_error` on failure. `seeds` are
--- a/src/peer/feed.capnp
+++ b/src/peer/feed.capnp
@@ -20,4 +20,6 @@
   lapseMs @3 :UInt32;
   # Whether the items are all that exist at this revision, not the changes since the follower's revision.
   snapshot @4 :Bool;
+  # Era of the store to which the revisions belong.
+  era @5 :UInt64;
 }
--- a/src/peer/feed.cpp
+++ b/src/peer/feed.cpp
@@ -39,7 +39,8 @@
     auto items = root.initItems(static_cast<unsigned>(answer.items.size()));
     for (unsigned i = 0; i < items.size(); ++i)
         write(items[i], answer.items[i]);
-    root.setAt(answer.revision);
+    root.setAt(answer.revision.number);
+    root.setEra(answer.revision.era);
     const auto age = answer.confirmedAge ? std::min(answer.confirmedAge->count(), MaxMs) : NeverConfirmed;
     root.setConfirmedAgeMs(static_cast<std::int32_t>(age));
     root.setLapseMs(static_cast<std::uint32_t>(
@@ -54,7 +55,7 @@
     const auto read = [&](wire::FeedAnswer::Reader root) {
         for (const auto item : root.getItems())
             answer.items.push_back(toItem(item));
-        answer.revision = root.getAt();
+        answer.revision = {root.getEra(), root.getAt()};
         if (root.getConfirmedAgeMs() >= 0)
             answer.confirmedAge = milliseconds(root.getConfirmedAgeMs());
         answer.removalsDelayedFor = milliseconds(root.getLapseMs());
--- a/src/peer/fleet.capnp
+++ b/src/peer/fleet.capnp
@@ -135,4 +135,6 @@
   # A message with one of these is not a heartbeat.
   permitAsk @19 :PermitAsk;
   permitReply @20 :PermitReply;
+  # Era of the store to which the revision belongs.
+  era @21 :UInt64;
 }
--- a/src/peer/gossipmessage.cpp
+++ b/src/peer/gossipmessage.cpp
@@ -177,7 +177,8 @@
     for (unsigned i = 0; i < signs.size(); ++i)
         signs.set(i, pack(gossip.digests[i]));
     root.setWanted({gossip.unknownInstances.data(), gossip.unknownInstances.size()});
-    root.setRevision(gossip.revision);
+    root.setRevision(gossip.revision.number);
+    root.setEra(gossip.revision.era);
     root.setFollowedMs(clampTo<std::uint32_t>(gossip.followedFor.count()));
     root.setSentAt(gossip.sentAt.count());
     auto echoes = root.initEchoes(static_cast<unsigned>(gossip.echoes.size()));
@@ -238,7 +239,7 @@
             gossip.digests.push_back(unpack(digest));
         for (const std::uint32_t instance : root.getWanted())
             gossip.unknownInstances.push_back(instance);
-        gossip.revision = root.getRevision();
+        gossip.revision = {root.getEra(), root.getRevision()};
         gossip.followedFor = milliseconds(root.getFollowedMs());
         gossip.sentAt = Instant(root.getSentAt());
         for (const auto echo : root.getEchoes())
--- a/src/peer/impl/feed.capnp.h
+++ b/src/peer/impl/feed.capnp.h
@@ -48,7 +48,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c834814cac6e4fb2, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c834814cac6e4fb2, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -186,6 +186,8 @@
 
   inline bool getSnapshot() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -233,6 +235,9 @@
   inline bool getSnapshot();
   inline void setSnapshot(bool value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -447,6 +452,20 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FeedAnswer::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedAnswer::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FeedAnswer::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/peer/impl/fleet.capnp.h
+++ b/src/peer/impl/fleet.capnp.h
@@ -208,7 +208,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 5, 15)
+    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 6, 15)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1303,6 +1303,8 @@
   inline bool hasPermitReply() const;
   inline  ::chestnutsill::wire::PermitReply::Reader getPermitReply() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1459,6 +1461,9 @@
   inline void adoptPermitReply(::capnp::Orphan< ::chestnutsill::wire::PermitReply>&& value);
   inline ::capnp::Orphan< ::chestnutsill::wire::PermitReply> disownPermitReply();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2809,6 +2814,20 @@
       ::capnp::bounded<14>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FleetBeat::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetBeat::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FleetBeat::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/policy/catalog.cpp
+++ b/src/policy/catalog.cpp
@@ -14,12 +14,19 @@
 
 void Catalog::setZoneOutOfService(std::string_view zone, bool out)
 {
+    if (const auto found = m_zoneReturns.find(zone); found != m_zoneReturns.end())
+        m_zoneReturns.erase(found);
     if (out)
         m_zonesOutOfService.emplace(zone);
     else if (const auto found = m_zonesOutOfService.find(zone); found != m_zonesOutOfService.end())
         m_zonesOutOfService.erase(found);
 }
 
+void Catalog::returnZoneOfRestoredStore(std::string_view zone, Instant now)
+{
+    m_zoneReturns.insert_or_assign(std::string(zone), std::max(m_removalsDelayedUntil, now));
+}
+
 bool Catalog::isZoneOutOfService(std::string_view zone) const
 {
     return m_zonesOutOfService.contains(zone);
@@ -33,34 +40,57 @@
     return found == m_table->services.end() ? milliseconds{} : found->second.coldStart;
 }
 
-void Catalog::updateUpstream(UpstreamEntry entry, std::uint64_t revision, Instant now)
+void Catalog::updateUpstream(UpstreamEntry entry, StoreRevision revision, Instant now)
 {
-    UpstreamRecord &record = m_upstreams[entry.id];
+    const auto [found, isNew] = m_upstreams.try_emplace(entry.id);
+    UpstreamRecord &record = found->second;
     if (record.revision > revision)
         return;
     const bool restarted = record.entry.startUnixMs != 0 && record.entry.startUnixMs != entry.startUnixMs;
-    // A revision that is read again must not restart the cold start: its remaining time counts from the
-    // write.
-    if (record.revision != revision)
+    const bool isFirstOfEra = !isNew && revision.era > record.revision.era;
+    // The remaining time of the cold start counts from the write. An entry that is read again, as the same
+    // revision or from the copy of a restored store, must not restart it.
+    const bool isReadAgain =
+        record.revision == revision
+        || (isFirstOfEra && !restarted && entry.coldRemaining <= record.entry.coldRemaining);
+    if (!isReadAgain)
         record.coldUntil = std::max(record.coldUntil, now + entry.coldRemaining);
     if (restarted)
         record.coldUntil = std::max<Instant>(record.coldUntil, now + coldStartOf(entry.service));
+    if (isFirstOfEra && !restarted && record.entry.leaving)
+        entry.leaving = true;
+    record.withheldUntil.reset();
+    if (const auto removed = m_removedUpstreams.find(entry.id); removed != m_removedUpstreams.end()) {
+        if (revision.era > removed->second.era && entry.startUnixMs == removed->second.startUnixMs)
+            record.withheldUntil = now + ReturnDelay;
+        m_removedUpstreams.erase(removed);
+    }
     record.entry = std::move(entry);
     record.revision = revision;
     record.removeAt.reset();
 }
 
-void Catalog::removeUpstream(std::string_view id, std::uint64_t revision, Instant now)
+void Catalog::removeUpstream(std::string_view id, StoreRevision revision, Instant now)
 {
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end() || found->second.revision > revision)
         return;
     // During a store outage leases expire although their holders live, so the removal is delayed.
-    if (m_storeLost || now < m_removalsDelayedUntil) {
+    const bool isDelayed = m_storeLost || now < m_removalsDelayedUntil;
+    if (isDelayed && !found->second.withheldUntil) {
         if (!found->second.removeAt)
             found->second.removeAt = std::max<Instant>(m_removalsDelayedUntil, now);
         return;
     }
+    erase(id, now);
+}
+
+void Catalog::erase(std::string_view id, Instant now)
+{
+    std::erase_if(m_removedUpstreams, [&](const auto &item) { return now - item.second.at > RemovalMemory; });
+    const auto found = m_upstreams.find(id);
+    m_removedUpstreams.insert_or_assign(
+        found->first, RemovedUpstream{found->second.entry.startUnixMs, found->second.revision.era, now});
     m_upstreams.erase(found);
 }
 
@@ -85,7 +115,11 @@
     if (m_storeLost || now >= m_removalsDelayedUntil || now - followed >= m_storeLostSince)
         return;
     m_removalsDelayedUntil = now;
-    std::erase_if(m_upstreams, [](const auto &item) { return item.second.removeAt.has_value(); });
+    for (auto &[id, record] : m_upstreams) {
+        if (record.removeAt)
+            record.removeAt = now;
+    }
+    removeExpired(now);
 }
 
 void Catalog::recordStoreRegained(Instant now) noexcept
@@ -98,19 +132,35 @@
         if (record.removeAt)
             record.removeAt = m_removalsDelayedUntil;
     }
+    for (auto &[zone, returnAt] : m_zoneReturns)
+        returnAt = m_removalsDelayedUntil;
 }
 
 void Catalog::removeExpired(Instant now)
 {
     if (m_storeLost)
         return;
-    std::erase_if(m_upstreams,
-                  [&](const auto &item) { return item.second.removeAt && *item.second.removeAt <= now; });
+    std::vector<std::string> expired;
+    for (auto &[id, record] : m_upstreams) {
+        if (record.withheldUntil && *record.withheldUntil <= now)
+            record.withheldUntil.reset();
+        if (record.removeAt && *record.removeAt <= now)
+            expired.push_back(id);
+    }
+    for (const std::string &id : expired)
+        erase(id, now);
+    std::vector<std::string> zones;
+    for (const auto &[zone, returnAt] : m_zoneReturns) {
+        if (returnAt <= now)
+            zones.push_back(zone);
+    }
+    for (const std::string &zone : zones)
+        setZoneOutOfService(zone, false);
 }
 
 bool Catalog::isUsable(const UpstreamRecord &record) const
 {
-    return !record.entry.leaving && !isZoneOutOfService(record.entry.zone);
+    return !record.entry.leaving && !record.withheldUntil && !isZoneOutOfService(record.entry.zone);
 }
 
 std::vector<const UpstreamRecord *> Catalog::usableUpstreams(std::string_view service) const
--- a/src/policy/changelog.cpp
+++ b/src/policy/changelog.cpp
@@ -4,7 +4,7 @@
 
 namespace chestnutsill {
 
-void ChangeLog::restart(std::vector<PublishedItem> items, std::uint64_t revision)
+void ChangeLog::restart(std::vector<PublishedItem> items, StoreRevision revision)
 {
     m_changes.clear();
     m_items.clear();
@@ -12,13 +12,13 @@
         std::string key = item.key;
         m_items.insert_or_assign(std::move(key), std::move(item));
     }
-    m_discardedUpTo = revision;
+    m_discardedUpTo = revision.number;
     m_revision = revision;
 }
 
 void ChangeLog::add(PublishedItem item)
 {
-    m_revision = std::max(m_revision, item.revision);
+    advance(item.revision);
     if (item.deleted)
         m_items.erase(item.key);
     else
@@ -32,7 +32,7 @@
 
 void ChangeLog::advance(std::uint64_t revision)
 {
-    m_revision = std::max(m_revision, revision);
+    m_revision.number = std::max(m_revision.number, revision);
 }
 
 std::vector<PublishedItem> ChangeLog::snapshot() const
@@ -44,13 +44,13 @@
     return items;
 }
 
-std::optional<std::vector<PublishedItem>> ChangeLog::since(std::uint64_t after) const
+std::optional<std::vector<PublishedItem>> ChangeLog::since(StoreRevision after) const
 {
-    if (after < m_discardedUpTo)
+    if (after.era != m_revision.era || after.number < m_discardedUpTo)
         return std::nullopt;
     std::vector<PublishedItem> changes;
     for (const PublishedItem &item : m_changes) {
-        if (item.revision > after)
+        if (item.revision > after.number)
             changes.push_back(item);
     }
     return changes;
--- a/tests/daemon/peerfeedtest.cpp
+++ b/tests/daemon/peerfeedtest.cpp
@@ -18,7 +18,7 @@
 {
     boost::asio::io_context io;
     int reads = 0;
-    FeedServer feed([&](std::uint64_t after) {
+    FeedServer feed([&](StoreRevision after) {
         ++reads;
         return std::optional(FeedAnswer{{}, after, confirmedAge, {}, false});
     });
@@ -27,12 +27,12 @@
     std::optional<FeedAnswer> answer;
     startFiber(io, [&](const Fiber &fiber) {
         FeedClient client;
-        answer = client.follow({Address, acceptsStale}, 5, milliseconds(20), milliseconds(5000), fiber);
+        answer = client.follow({Address, acceptsStale}, {2, 5}, milliseconds(20), milliseconds(5000), fiber);
         io.stop();
     });
     io.run();
     REQUIRE(answer);
-    CHECK(answer->revision == 5);
+    CHECK(answer->revision == StoreRevision{2, 5});
     CHECK(answer->confirmedAge == confirmedAge);
     return reads;
 }
@@ -52,24 +52,25 @@
 {
     boost::asio::io_context io;
     std::optional<FeedAnswer> available;
-    FeedServer feed([&](std::uint64_t) { return available; });
+    FeedServer feed([&](StoreRevision) { return available; });
     HttpServer server(io, Address, HttpLimits{},
                       [&](Exchange &exchange, const Fiber &fiber) { feed.serve(exchange, fiber); });
     std::optional<FeedAnswer> answer;
     startFiber(io, [&](const Fiber &fiber) {
         FeedClient client;
-        answer = client.follow({Address}, 0, milliseconds(4000), milliseconds(5000), fiber);
+        answer = client.follow({Address}, {}, milliseconds(4000), milliseconds(5000), fiber);
         io.stop();
     });
     startFiber(io, [&](const Fiber &fiber) {
         sleepFor(milliseconds(20), fiber);
-        available = FeedAnswer{{{"key", std::string("v\0lue", 5), 7, false}}, 9, milliseconds(10), {}, true};
+        available =
+            FeedAnswer{{{"key", std::string("v\0lue", 5), 7, false}}, {2, 9}, milliseconds(10), {}, true};
         feed.wake();
     });
     io.run();
     REQUIRE(answer);
     CHECK(answer->isSnapshot);
-    CHECK(answer->revision == 9);
+    CHECK(answer->revision == StoreRevision{2, 9});
     REQUIRE(answer->items.size() == 1);
     CHECK(answer->items[0].value == std::string("v\0lue", 5));
 }
--- a/tests/peer/gossipmessagetest.cpp
+++ b/tests/peer/gossipmessagetest.cpp
@@ -20,7 +20,7 @@
     message.digests.push_back({0xffffffff, true, milliseconds(1234)});
     message.digests.push_back({5, false, milliseconds(0)});
     message.unknownInstances = {9};
-    message.revision = 321;
+    message.revision = {2, 321};
     message.followedFor = seconds(70);
     message.sentAt = seconds(4);
     message.echoes.push_back({12, seconds(3), milliseconds(20)});
@@ -66,7 +66,7 @@
     CHECK(read->digests[0].age == milliseconds(1234));
     CHECK_FALSE(read->digests[1].serving);
     CHECK(read->unknownInstances == std::vector<std::uint32_t>{9});
-    CHECK(read->revision == 321);
+    CHECK(read->revision == StoreRevision{2, 321});
     CHECK(read->followedFor == seconds(70));
     CHECK(read->echoes.at(0).sentAt == seconds(3));
     CHECK(read->cacheUpdates.at(0).parts.at(1).tokens == 50);
--- a/tests/policy/feedselectortest.cpp
+++ b/tests/policy/feedselectortest.cpp
@@ -211,7 +211,7 @@
 TEST_CASE("change log: a snapshot holds each item as last written, and no deleted ones")
 {
     ChangeLog changes;
-    changes.restart({{"a", "1", 3, false}, {"b", "1", 4, false}}, 5);
+    changes.restart({{"a", "1", 3, false}, {"b", "1", 4, false}}, {1, 5});
     changes.add({"a", "2", 6, false});
     changes.add({"c", "1", 7, false});
     changes.add({"b", "", 8, true});
@@ -220,10 +220,12 @@
     CHECK(items[0].key == "a");
     CHECK(items[0].value == "2");
     CHECK(items[1].key == "c");
-    CHECK(changes.revision() == 8);
-    CHECK_FALSE(changes.since(4));
-    CHECK(changes.since(5)->size() == 3);
-    changes.restart({}, 9);
+    CHECK(changes.revision() == StoreRevision{1, 8});
+    CHECK_FALSE(changes.since({1, 4}));
+    CHECK(changes.since({1, 5})->size() == 3);
+    CHECK_FALSE(changes.since({0, 8}));
+    CHECK_FALSE(changes.since({2, 8}));
+    changes.restart({}, {1, 9});
     CHECK(changes.snapshot().empty());
 }
 
