--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -338,6 +338,8 @@
         m_storeClient.watch(AllItems, m_changeLog.revision().number, wait, wait + ResponseTimeout, fiber);
     if (!changes)
         return false;
+    if (changes->revision.era < era())
+        return false;
     if (!isSameEra(changes->revision)) {
         m_fullReadDone = false;
         return true;
--- a/src/peer/gossipmessage.cpp
+++ b/src/peer/gossipmessage.cpp
@@ -115,7 +115,8 @@
 
 PermitMessage<PermitRequest> read(wire::PermitAsk::Reader in)
 {
-    return {in.getId(), {in.getUpstream(), in.getPerSecond(), milliseconds(in.getMaxDelayMs()), in.getRank()}};
+    return {in.getId(),
+            {in.getUpstream(), in.getPerSecond(), milliseconds(in.getMaxDelayMs()), in.getRank()}};
 }
 
 void write(wire::PermitReply::Builder out, const PermitMessage<Permit> &reply)
@@ -149,6 +150,24 @@
     return upstreamLoads;
 }
 
+void writeCrashes(wire::FleetBeat::Builder root, const GossipMessage &gossip)
+{
+    auto crashes = root.initCrashes(static_cast<unsigned>(gossip.crashes.size()));
+    for (unsigned i = 0; i < crashes.size(); ++i) {
+        crashes[i].setIncarnation(gossip.crashes[i].incarnation);
+        const auto &fingerprints = gossip.crashes[i].fingerprints;
+        crashes[i].setFingerprints({fingerprints.data(), fingerprints.size()});
+        crashes[i].setAgeMs(clampTo<std::uint32_t>(
+            std::chrono::duration_cast<milliseconds>(gossip.sentAt - gossip.crashes[i].at).count()));
+        const auto &suspects = gossip.crashes[i].parts;
+        auto parts = crashes[i].initParts(static_cast<unsigned>(suspects.size()));
+        for (unsigned j = 0; j < parts.size(); ++j) {
+            parts[j].setPart(suspects[j].part);
+            parts[j].setFollowing(suspects[j].following);
+        }
+    }
+}
+
 std::vector<std::uint64_t> toNumbers(capnp::List<std::uint64_t>::Reader list)
 {
     std::vector<std::uint64_t> numbers;
@@ -191,20 +210,7 @@
     auto copies = root.initCopies(static_cast<unsigned>(gossip.cacheUpdates.size()));
     for (unsigned i = 0; i < copies.size(); ++i)
         write(copies[i], gossip.cacheUpdates[i]);
-    auto crashes = root.initCrashes(static_cast<unsigned>(gossip.crashes.size()));
-    for (unsigned i = 0; i < crashes.size(); ++i) {
-        crashes[i].setIncarnation(gossip.crashes[i].incarnation);
-        const auto &fingerprints = gossip.crashes[i].fingerprints;
-        crashes[i].setFingerprints({fingerprints.data(), fingerprints.size()});
-        crashes[i].setAgeMs(clampTo<std::uint32_t>(
-            std::chrono::duration_cast<milliseconds>(gossip.sentAt - gossip.crashes[i].at).count()));
-        const auto &suspects = gossip.crashes[i].parts;
-        auto parts = crashes[i].initParts(static_cast<unsigned>(suspects.size()));
-        for (unsigned j = 0; j < parts.size(); ++j) {
-            parts[j].setPart(suspects[j].part);
-            parts[j].setFollowing(suspects[j].following);
-        }
-    }
+    writeCrashes(root, gossip);
     auto bans = root.initBans(static_cast<unsigned>(gossip.bans.size()));
     for (unsigned i = 0; i < bans.size(); ++i) {
         bans[i].setPart(gossip.bans[i].part);
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -100,13 +100,12 @@
 std::vector<UpstreamCandidate> Router::collectCandidates(const RequestContext &context, Instant time) const
 {
     const milliseconds permitWait = maxPermitWait(context, time);
-    for (const CandidateFilter filter : {CandidateFilter{false, {}}, CandidateFilter{false, permitWait},
-                                         CandidateFilter{true, permitWait}}) {
-        auto candidates = collectCandidates(context, time, filter);
-        if (!candidates.empty())
-            return candidates;
-    }
-    return {};
+    auto candidates = collectCandidates(context, time, {.includeSuspected = false, .permitWait = {}});
+    if (candidates.empty() && !m_state.rateLimits.empty())
+        candidates = collectCandidates(context, time, {.includeSuspected = false, .permitWait = permitWait});
+    if (candidates.empty())
+        candidates = collectCandidates(context, time, {.includeSuspected = true, .permitWait = permitWait});
+    return candidates;
 }
 
 std::vector<UpstreamCandidate> Router::collectCandidates(const RequestContext &context, Instant time,
