Tests: permits while issuers are killed and through a hub, keys that a restored store brings back; soak restores the store and limits upstreams

The case for keys fails if an instance that was unconfirmed for long takes the copy for a confirmation (200 and two runs instead of 503).

--- a/tests/entry/requestratetest.cpp
+++ b/tests/entry/requestratetest.cpp
@@ -16,6 +16,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t Instances = 6;
+/// More instances than `Membership::MaxDirectPeers`, so that heartbeats go through a hub.
+constexpr std::size_t LargeCount = 13;
 /// Time in which all instances learn of a rate that one of them has been told.
 constexpr std::int64_t SpreadMs = 500;
 constexpr std::int64_t WindowMs = 4000;
@@ -38,7 +40,7 @@
                     const auto next = std::chrono::steady_clock::now() + pause;
                     const auto id =
                         "rate-" + std::to_string(caller) + '-' + std::to_string(i) + path.substr(1, 6);
-                    const auto answer = site.call(i % Instances, callTo(path, id));
+                    const auto answer = site.call(i % site.instances().size(), callTo(path, id));
                     ++(answer && answer->head.status == 200 ? m_served : m_refused);
                     std::this_thread::sleep_until(next);
                 }
@@ -79,27 +81,31 @@
     return largest;
 }
 
-void startSite(Site &site)
+void startSite(Site &site, std::size_t count = Instances)
 {
-    site.start(static_cast<int>(Instances));
+    site.start(static_cast<int>(count));
     REQUIRE(site.waitReady());
 }
 
 } // namespace
 
-TEST_CASE("request rate: six instances together send an upstream no more requests than it says it accepts")
+TEST_CASE(
+    "request rate: six instances, and thirteen, send an upstream no more requests than it says it accepts")
 {
-    Site site("request-rate");
-    Site::commandUpstream(site.addUpstream("chat-1", "chat"), R"({"rate":"1"})");
-    site.addUpstream("chat-2", "chat");
-    site.addUpstream("chat-3", "chat");
-    startSite(site);
-    Load load(site, "/streamonce/stream/x", 6, milliseconds(200));
-    CHECK(
-        support::waitUntil([&] { return load.served() + load.refused() >= 240; }, std::chrono::seconds(40)));
-    load.stop();
-    CHECK(largestWindow(site, "chat-1") <= mostInWindow(1));
-    CHECK(load.refused() == 0);
+    for (const std::size_t count : {Instances, LargeCount}) {
+        CAPTURE(count);
+        Site site("request-rate-" + std::to_string(count));
+        Site::commandUpstream(site.addUpstream("chat-1", "chat"), R"({"rate":"1"})");
+        site.addUpstream("chat-2", "chat");
+        site.addUpstream("chat-3", "chat");
+        startSite(site, count);
+        Load load(site, "/streamonce/stream/x", 6, milliseconds(200));
+        CHECK(support::waitUntil([&] { return load.served() + load.refused() >= 240; },
+                                 std::chrono::seconds(40)));
+        load.stop();
+        CHECK(largestWindow(site, "chat-1") <= mostInWindow(1));
+        CHECK(load.refused() == 0);
+    }
 }
 
 TEST_CASE("request rate: retries and resumed streams count against the rate that an upstream accepts")
@@ -171,3 +177,22 @@
     load.stop();
     CHECK(load.refused() > 4 * load.served());
 }
+
+TEST_CASE(
+    "request rate: requests go on within the rate while each instance, and so the issuer, is killed once")
+{
+    constexpr std::size_t Count = 4;
+    Site site("request-rate-issuer");
+    Site::commandUpstream(site.addUpstream("chat-1", "chat"), R"({"rate":"5"})");
+    startSite(site, Count);
+    Load load(site, "/streamonce/stream/x", 6, milliseconds(150));
+    for (std::size_t i = 0; i < Count; ++i) {
+        site.instances()[i].process->kill();
+        const int before = load.served();
+        CHECK(support::waitUntil([&] { return load.served() >= before + 10; }, std::chrono::seconds(40)));
+        site.startInstance(i);
+        CHECK(support::waitUntil([&] { return site.readiness(i) == 200; }));
+    }
+    load.stop();
+    CHECK(largestWindow(site, "chat-1") <= mostInWindow(5));
+}
--- a/tests/entry/restoredstoretest.cpp
+++ b/tests/entry/restoredstoretest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <thread>
 
 using namespace chestnutsill;
 using support::callTo;
@@ -229,3 +230,33 @@
     site.publishUpstream(gone, "ready");
     CHECK(holdsAtAll(site, [&](std::size_t i) { return isUsable(site, i, "desk-2"); }));
 }
+
+TEST_CASE(
+    "restored store: a key whose withdrawal the copy lacks is not accepted by an instance that missed it")
+{
+    constexpr int MaxKeyAgeMs = 1500;
+    Site site("restored-key");
+    site.addUpstream("desk-1", "desk");
+    site.start(1, MaxKeyAgeMs);
+    REQUIRE(site.waitReady());
+    support::SiteCall call = callTo("/plain/x", "before");
+    call.key = "key-2";
+    REQUIRE(site.call(0, call)->head.status == 200);
+    site.commandStore(R"({"copy":true})");
+    writeOften(site);
+    REQUIRE(waitUntil([&] { return site.state(0).at("configAgeMs").as_double() < MaxKeyAgeMs; }));
+    signalAll(site, SIGSTOP);
+    site.table()["tenants"].as_array().at(1).as_object()["api_keys"].as_array().clear();
+    site.publishTable();
+    restore(site);
+    std::this_thread::sleep_for(std::chrono::milliseconds(MaxKeyAgeMs));
+    const auto before = site.storeCalls();
+    signalAll(site, SIGCONT);
+    REQUIRE(waitUntil([&] { return site.storeCalls() >= before + 3; }));
+    call.attemptId = "after";
+    CHECK(site.call(0, call)->head.status == 503);
+    site.publishTable();
+    CHECK(waitUntil([&] { return site.call(0, call)->head.status == 401; }));
+    CHECK(site.runsOf("after") == 0);
+    CHECK(site.call(0, callTo("/plain/x", ""))->head.status == 200);
+}
--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -82,6 +82,7 @@
 void FaultInjector::upstreamFault()
 {
     static const std::vector<std::string> Modes{"ok", "error", "shed", "reset", "cut", "stray", "mute"};
+    static const std::vector<std::string> Rates{"", "0", "2", "20", "few"};
     static const std::vector<std::string> ProxyCommands{R"({"mode":"pass"})",
                                                         R"({"mode":"cut"})",
                                                         R"({"mode":"silent"})",
@@ -89,7 +90,7 @@
                                                         R"({"mode":"pass","silenceOpen":true})",
                                                         R"({"mode":"pass","delayMs":150})"};
     auto &upstream = randomUpstream();
-    switch (pick(4)) {
+    switch (pick(5)) {
     case 0:
         m_history.recordFault("crash");
         upstream.process->kill();
@@ -103,6 +104,12 @@
         support::Site::commandProxy(upstream, command);
         break;
     }
+    case 2: {
+        const std::string &rate = Rates[pick(Rates.size())];
+        m_history.recordFault("rate");
+        support::Site::commandUpstream(upstream, R"({"rate":")" + rate + "\"}");
+        break;
+    }
     default: {
         const std::string &mode = Modes[pick(Modes.size())];
         m_history.recordFault(mode);
@@ -113,11 +120,33 @@
 
 void FaultInjector::storeFault()
 {
-    static const std::vector<std::string> Commands{R"({"mode":"pass"})", R"({"mode":"refuse"})",
-                                                   R"({"mode":"silent"})",
-                                                   R"({"mode":"pass","dropHistory":true})"};
+    static const std::vector<std::string> Commands{
+        R"({"mode":"pass"})", R"({"mode":"refuse"})", R"({"mode":"silent"})",
+        R"({"mode":"pass","dropHistory":true})", R"({"copy":true})"};
+    if (m_hasCopy && pick(3) == 0)
+        return restoreStore();
     m_history.recordFault("store");
-    m_site.commandStore(Commands[pick(Commands.size())]);
+    const std::string &command = Commands[pick(Commands.size())];
+    m_hasCopy = m_hasCopy || command == Commands.back();
+    m_site.commandStore(command);
+}
+
+void FaultInjector::restoreStore()
+{
+    m_history.recordFault("restore");
+    m_site.commandStore(R"({"restore":true})");
+    // Operators and upstreams write again what the copy lacks.
+    m_site.publishTable();
+    for (const std::string zone : {"a", "b"}) {
+        if (m_zonesOut.contains(zone))
+            m_site.writeItem("op/evacuate/" + zone, "{}");
+        else
+            m_site.removeItem("op/evacuate/" + zone);
+    }
+    for (std::size_t i = 0; i < m_site.upstreamCount(); ++i) {
+        const auto &upstream = m_site.upstreamAt(i);
+        m_site.publishUpstream(upstream, m_draining.contains(upstream.id) ? "draining" : "ready");
+    }
 }
 
 void FaultInjector::operatorChange()
@@ -213,7 +242,7 @@
         m_site.removeItem("op/evacuate/" + zone);
     for (std::size_t i = 0; i < m_site.upstreamCount(); ++i) {
         auto &upstream = m_site.upstreamAt(i);
-        support::Site::commandUpstream(upstream, R"({"mode":"ok"})");
+        support::Site::commandUpstream(upstream, R"({"mode":"ok","rate":""})");
         support::Site::commandProxy(upstream, R"({"mode":"pass","delayMs":0})");
         m_site.publishUpstream(upstream, "ready");
     }
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -27,6 +27,8 @@
     void instanceFault();
     void upstreamFault();
     void storeFault();
+    /// Returns the store to its copy, after which everything is written again.
+    void restoreStore();
     void operatorChange();
     void resumeAll();
     void restartExited();
@@ -42,6 +44,7 @@
     std::set<std::string> m_zonesOut;
     std::set<std::string> m_draining;
     bool m_keyRevoked = false;
+    bool m_hasCopy = false;
     /// Highest configuration version observed at each instance since its last start.
     std::map<std::size_t, std::int64_t> m_versions;
 };
