Stand-in upstream: a command applies to requests that begin after it

Cause: the stand-in looked at its mode before and after its work; a request that began in mode error and ended in mode ok got status 200 with the error's body. Shown by a run of the stand-in alone: 200 and a plain body with the mode changed meanwhile, 500 after this change. The checks are unchanged.

--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -92,18 +92,20 @@
         std::vector<HttpField> fields{{"X-Attempt-Id", id}, {"X-Server-Seal", m_id + '.' + id}};
         if (!m_rate.empty())
             fields.push_back({"Server-Limit", m_rate});
-        if (request.target.find("/stream") != std::string::npos && m_mode != "error")
+        // A command that arrives while the request is in progress applies to the next one.
+        const std::string mode = m_mode;
+        if (request.target.find("/stream") != std::string::npos && mode != "error")
             return stream(exchange, fields, fiber);
         sleepFor(milliseconds(m_workMs), fiber);
-        if (m_mode == "mute")
+        if (mode == "mute")
             sleepFor(std::chrono::seconds(30), fiber);
-        if (m_mode == "reset" || m_mode == "mute")
+        if (mode == "reset" || mode == "mute")
             return exchange.abort();
-        if (m_mode == "stray") {
+        if (mode == "stray") {
             m_mode = "ok";
             answer(exchange, 200, {{"X-Attempt-Id", "of-another"}}, "another answer", fiber);
         }
-        answer(exchange, m_mode == "error" ? 500 : 200, fields, "body of " + id, fiber);
+        answer(exchange, mode == "error" ? 500 : 200, fields, "body of " + id, fiber);
     }
 
     void stream(Exchange &exchange, const std::vector<HttpField> &fields, const Fiber &fiber)
