--- a/src/policy/upstreamratelimits.cpp
+++ b/src/policy/upstreamratelimits.cpp
@@ -46,7 +46,7 @@
 
 std::optional<double> UpstreamRateLimits::perSecond(std::string_view upstream) const
 {
-    return perSecond(stableHash(upstream));
+    return m_records.empty() ? std::nullopt : perSecond(stableHash(upstream));
 }
 
 std::optional<double> UpstreamRateLimits::perSecond(std::uint64_t upstream) const
