An upstream that is written again late after a restoration is used at once

Cause: the memory of a removed upstream held the era of its last entry, not of its removal, so that one that the copy lacked, removed after 2.2 s and written later, was withheld for 5 s as if it came from the copy. Found by reading. The case "what the copy of a restored store lacks" failed before the change and passes.

--- a/include/chestnutsill/policy/catalog.h
+++ b/include/chestnutsill/policy/catalog.h
@@ -151,6 +151,7 @@
     struct RemovedUpstream
     {
         std::int64_t startUnixMs = 0;
+        /// Era in which it was removed.
         std::uint64_t era = 0;
         Instant at{};
     };
@@ -159,6 +160,8 @@
     std::set<std::string, std::less<>> m_zonesOutOfService;
     std::map<std::string, UpstreamRecord, std::less<>> m_upstreams;
     std::map<std::string, RemovedUpstream, std::less<>> m_removedUpstreams;
+    /// The newest era of all entries and removals.
+    std::uint64_t m_era = 0;
     /// Zones that are put back at an instant.
     std::map<std::string, Instant, std::less<>> m_zoneReturns;
     bool m_storeLost = false;
--- a/src/policy/catalog.cpp
+++ b/src/policy/catalog.cpp
@@ -42,6 +42,7 @@
 
 void Catalog::updateUpstream(UpstreamEntry entry, StoreRevision revision, Instant now)
 {
+    m_era = std::max(m_era, revision.era);
     const auto [found, isNew] = m_upstreams.try_emplace(entry.id);
     UpstreamRecord &record = found->second;
     if (record.revision > revision)
@@ -72,6 +73,7 @@
 
 void Catalog::removeUpstream(std::string_view id, StoreRevision revision, Instant now)
 {
+    m_era = std::max(m_era, revision.era);
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end() || found->second.revision > revision)
         return;
@@ -89,8 +91,8 @@
 {
     std::erase_if(m_removedUpstreams, [&](const auto &item) { return now - item.second.at > RemovalMemory; });
     const auto found = m_upstreams.find(id);
-    m_removedUpstreams.insert_or_assign(
-        found->first, RemovedUpstream{found->second.entry.startUnixMs, found->second.revision.era, now});
+    m_removedUpstreams.insert_or_assign(found->first,
+                                        RemovedUpstream{found->second.entry.startUnixMs, m_era, now});
     m_upstreams.erase(found);
 }
 
--- a/tests/policy/catalogtest.cpp
+++ b/tests/policy/catalogtest.cpp
@@ -249,6 +249,9 @@
         catalog.removeExpired(seconds(4) + Catalog::RemovalDelay);
         CHECK(catalog.find("added") == nullptr);
         CHECK_FALSE(catalog.isZoneOutOfService("b"));
+        // Written later, it comes from its upstream and not from the copy.
+        catalog.updateUpstream(entry("added"), {2, 80}, seconds(10));
+        CHECK(catalog.isUsable("added"));
     }
 }
 
