Compute the proven send time of a heartbeat once, ask for permits in one place, and plainer branches

Findings of reading the whole change: the echoes of each heartbeat were searched twice, once for rates and once for the confirmation; choosePermittedUpstream checked for a rate that acquirePermit checks itself; the reply of an issuer was one nested expression; two ways of writing the later of an optional and an instant. Behaviour stays as it is.

--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -122,8 +122,8 @@
     /// Chooses an upstream and waits until the request may be sent to it.
     [[nodiscard]] std::optional<Answer> choosePermittedUpstream(RequestContext &context,
                                                                 UpstreamAttempt &attempt, const Fiber &fiber);
-    /// Gets the permit to send a request of this rank now to an upstream that accepts a limited rate. Waits
-    /// for it up to `maxDelay`.
+    /// Gets the permit to send a request of this rank now to an upstream, and waits for it up to `maxDelay`.
+    /// An upstream that names no rate needs none.
     [[nodiscard]] bool acquirePermit(const std::string &upstream, milliseconds maxDelay, int rank,
                                      const Fiber &fiber);
     void send(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
--- a/src/daemon/udpgossip.cpp
+++ b/src/daemon/udpgossip.cpp
@@ -82,11 +82,12 @@
     // The rate may have fallen since the sender was told of it.
     if (const auto known = m_state.rateLimits.perSecond(request.upstream))
         request.perSecond = std::min(request.perSecond, *known);
+    Permit permit{false, NotIssuerDelay};
+    if (isIssuer && !m_state.leaving)
+        permit = m_state.permitIssuer.issue(request, m_state.membership.isSettled(time), time);
     GossipMessage reply;
     reply.self = m_handlers.self();
-    reply.permit = {message.permitRequest->id, isIssuer && !m_state.leaving ? m_state.permitIssuer.issue(
-                                                   request, m_state.membership.isSettled(time), time)
-                                                                            : Permit{false, NotIssuerDelay}};
+    reply.permit = {message.permitRequest->id, permit};
     send(std::move(reply), message.self.peerAddress, time);
 }
 
@@ -152,7 +153,7 @@
     if (message.tableVersion > ownVersion)
         m_handlers.onNewerTable(message.self.peerAddress, message.tableVersion);
     else if (message.tableVersion == ownVersion && table)
-        confirmFreshness(message, ownVersion, time);
+        confirmFreshness(message, ownVersion, earliestSentAt);
     // A peer of an older era has followed a store that was restored since.
     if (message.revision.era == m_handlers.revision().era)
         m_state.catalog.recordPeerFollowed(message.followedFor, time);
@@ -192,10 +193,10 @@
     send(std::move(reply), message.self.peerAddress, time);
 }
 
-void UdpGossip::confirmFreshness(const GossipMessage &message, std::uint64_t ownVersion, Instant time)
+void UdpGossip::confirmFreshness(const GossipMessage &message, std::uint64_t ownVersion,
+                                 std::optional<Instant> earliestSentAt)
 {
     // Dating the confirmation from that instant never makes it look newer than it is.
-    const auto earliestSentAt = earliestSendOf(message, time);
     if (message.confirmedAge && earliestSentAt)
         m_state.freshness.confirm(ownVersion, *earliestSentAt - *message.confirmedAge);
 }
--- a/src/daemon/udpgossip.h
+++ b/src/daemon/udpgossip.h
@@ -81,7 +81,8 @@
     void handleHeartbeat(const GossipMessage &message);
     void replyTo(const GossipMessage &message, Instant time);
     void recordSilentUpstreams(std::span<const std::uint64_t> upstreams, Instant time);
-    void confirmFreshness(const GossipMessage &message, std::uint64_t ownVersion, Instant time);
+    void confirmFreshness(const GossipMessage &message, std::uint64_t ownVersion,
+                          std::optional<Instant> earliestSentAt);
     /// The latest instant that a heartbeat proves to be no later than its sending; nothing without an echo.
     [[nodiscard]] std::optional<Instant> earliestSendOf(const GossipMessage &message, Instant time) const;
 
--- a/src/policy/upstreamratelimits.cpp
+++ b/src/policy/upstreamratelimits.cpp
@@ -23,7 +23,7 @@
         return false;
     Record &record = found->second;
     const bool wasLimited = record.isLimited();
-    record.endedAt = record.endedAt ? std::max(*record.endedAt, sentAt) : sentAt;
+    record.endedAt = std::max(record.endedAt.value_or(sentAt), sentAt);
     return wasLimited && !record.isLimited();
 }
 
@@ -41,7 +41,7 @@
     if (!notice.endedAge || !earliestSentAt)
         return;
     const Instant endedAt = *earliestSentAt - *notice.endedAge;
-    record.endedAt = record.endedAt ? std::max(*record.endedAt, endedAt) : endedAt;
+    record.endedAt = std::max(record.endedAt.value_or(endedAt), endedAt);
 }
 
 std::optional<double> UpstreamRateLimits::perSecond(std::string_view upstream) const
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -218,8 +218,7 @@
     for (;;) {
         if (auto refused = chooseUpstream(context, attempt))
             return refused;
-        if (!m_state.rateLimits.perSecond(attempt.upstream)
-            || acquirePermit(attempt.upstream, context.permitWait, rank, fiber))
+        if (acquirePermit(attempt.upstream, context.permitWait, rank, fiber))
             return std::nullopt;
         context.deniedUpstreams.push_back(attempt.upstream);
         attempt = UpstreamAttempt{};
