--- a/include/chestnutsill/router/eventsplitter.h
+++ b/include/chestnutsill/router/eventsplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -17,14 +18,22 @@
     [[nodiscard]] std::string_view pendingBytes() const noexcept { return m_pending; }
 
     /// Discards an incomplete event before another stream continues.
-    void reset() noexcept { m_pending.clear(); }
+    void reset() noexcept
+    {
+        m_pending.clear();
+        m_eventCount = 0;
+    }
 
     /// Id of the last complete event that has one; empty before the first.
     [[nodiscard]] const std::string &lastEventId() const noexcept { return m_lastEventId; }
 
+    /// Number of complete events since the start or the last `reset`.
+    [[nodiscard]] std::size_t eventCount() const noexcept { return m_eventCount; }
+
 private:
     std::string m_pending;
     std::string m_lastEventId;
+    std::size_t m_eventCount = 0;
 };
 
 } // namespace chestnutsill
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -95,6 +95,12 @@
     return attempt.verdict == Verdict::Answered || time - attempt.firstTokenAt >= MinSurvivalTime;
 }
 
+/// How the end of a response is marked, for the log.
+std::string_view framingOf(const HttpHead &head)
+{
+    return head.length ? "length" : head.endsWithConnection ? "connection" : "chunks";
+}
+
 void recordFailure(UpstreamAttempt &attempt, AttemptResult result, std::string reason)
 {
     attempt.connectionBroke =
@@ -171,6 +177,8 @@
         m_state.silenceDetector.recordBytes(attempt.upstream, now());
         auto response = m_protocol.interpret(*head, context.request.attemptId);
         attempt.status = head->status;
+        attempt.framing = framingOf(*head);
+        context.upstreamFraming = attempt.framing;
         recordRequestRate(attempt, response, head->status);
         if (response.outcome == UpstreamResponse::Outcome::Answer) {
             if (!attempt.firstByteSeen) {
@@ -370,6 +378,9 @@
              {"verdict", std::string(toString(attempt.verdict))},
              {"status", static_cast<std::int64_t>(attempt.status)},
              {"reason", context.callerGone ? std::string("caller-gone") : attempt.reason},
+             {"framing", std::string(attempt.framing)},
+             {"events", static_cast<std::int64_t>(context.eventSplitter.eventCount())},
+             {"pendingBytes", static_cast<std::int64_t>(context.eventSplitter.pendingBytes().size())},
              {"sentMs", attempt.sent ? toMs(time - attempt.sentAt) : 0.0},
              {"upstreamSilentMs", toMs(attempt.upstreamSilence)},
              {"sharedParts",
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chestnutsill {
@@ -43,6 +44,9 @@
     Verdict verdict = Verdict::NotRun;
     AttemptResult result = AttemptResult::Unreachable;
     int status = 0;
+    /// How the end of the response is marked: by its length, by chunks or by the end of the connection; empty
+    /// before the head of a response.
+    std::string_view framing;
     std::string reason;
 };
 
@@ -93,6 +97,8 @@
     bool responseEnded = false;
     int status = 0;
     Instant firstByteAt{};
+    /// How the end of the last upstream's response is marked.
+    std::string_view upstreamFraming;
     EventSplitter eventSplitter;
 };
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -266,6 +266,9 @@
          {"reason", answer ? answer->reason : std::string()},
          {"upstream", context.triedUpstreams.empty() ? std::string() : context.triedUpstreams.back()},
          {"attempts", static_cast<std::int64_t>(context.triedUpstreams.size())},
+         {"upstreamFraming", std::string(context.upstreamFraming)},
+         {"events", static_cast<std::int64_t>(context.eventSplitter.eventCount())},
+         {"pendingBytes", static_cast<std::int64_t>(context.eventSplitter.pendingBytes().size())},
          {"expectedFirstTokenMs", context.expectedFirstTokenMs},
          {"sentMs",
           context.lastSentAt == Instant{}
