Failing tests: answers that were broken off reach callers as complete

Raw upstreams end their answers inside an event, before the first one, too early, or with a reset, with a length, in chunks or with the end of the connection; raw callers speak HTTP/1.1 and HTTP/1.0. An HTTP/1.0 caller gets chunks as the body and takes each close for the end. With HTTP/1.1: framed streams that end inside an event, unframed ones without an event, and unframed answers that are reset while the request is being sent. Own interface: the error event becomes a part of the event that was broken off.

--- /dev/null
+++ b/tests/entry/brokenofftest.cpp
@@ -0,0 +1,241 @@
+#include "rawcaller.h"
+#include "rawserver.h"
+#include "site.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <memory>
+#include <sstream>
+
+using namespace chestnutsill;
+using support::exchangeBytes;
+using support::looksComplete;
+using support::RawAnswer;
+using support::RawResponse;
+using support::RawServer;
+using support::Site;
+using support::statusOf;
+using support::waitUntil;
+
+namespace {
+
+constexpr std::chrono::milliseconds CallTimeout{8000};
+
+const std::string PlainHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: raw\r\n";
+const std::string StreamHead = PlainHead + "Content-Type: text/event-stream\r\n";
+const std::string Event = "id: 1\ndata: a\n\n";
+const std::string HalfEvent = "id: 2\nda";
+/// Larger than what an instance buffers of a response, so that forwarding begins before the end.
+const std::string LargeBody(3 << 20, 'x');
+
+std::string chunk(const std::string &bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+std::string withLength(const std::string &head, std::size_t length)
+{
+    return head + "Content-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
+std::string inChunks(const std::string &head)
+{
+    return head + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+/// One instance whose services each have one server of raw bytes as their only upstream.
+class RawSite
+{
+public:
+    explicit RawSite(const std::string &name)
+        : m_site(name)
+    {
+        m_site.table().at("limits").as_object()["max_body_bytes"] = 32 << 20;
+        m_site.publishTable();
+        m_site.start(1);
+        REQUIRE(m_site.waitReady());
+    }
+
+    /// Replaces all upstreams by one under a new id, about which the instance knows nothing.
+    void use(RawResponse response)
+    {
+        for (const char *service : {"chat", "desk"}) {
+            if (m_number > 0)
+                m_site.removeItem("servers/" + idOf(service));
+        }
+        ++m_number;
+        m_server = std::make_unique<RawServer>(std::move(response));
+        for (const char *service : {"chat", "desk"}) {
+            Site::Upstream upstream;
+            upstream.id = idOf(service);
+            upstream.service = service;
+            upstream.zone = "a";
+            upstream.publishedAddress = m_server->address();
+            m_site.publishUpstream(upstream, "ready");
+        }
+        REQUIRE(waitUntil([&] {
+            const auto state = m_site.state(0);
+            const auto &upstreams = state.at("upstreams").as_array();
+            return upstreams.size() == 2
+                   && std::all_of(upstreams.begin(), upstreams.end(), [&](const auto &upstream) {
+                          const std::string id(upstream.at("upstream").as_string());
+                          return id == idOf("chat") || id == idOf("desk");
+                      });
+        }));
+    }
+
+    /// Sends a request to the instance and receives until the connection ends.
+    RawAnswer call(const std::string &path, const std::string &version, const std::string &body = "{}",
+                   const std::function<void(const std::string &)> &onBytes = {})
+    {
+        const std::string id = "broken-" + std::to_string(++m_calls);
+        return exchangeBytes(m_site.address(0, m_site.callerPort()),
+                             "POST " + path + id + " HTTP/" + version
+                                 + "\r\nHost: site.example\r\nX-Attempt-Id: " + id
+                                 + "\r\nAuthorization: Bearer key-1\r\nConnection: close\r\nContent-Length: "
+                                 + std::to_string(body.size()) + "\r\n\r\n" + body,
+                             CallTimeout, onBytes);
+    }
+
+    [[nodiscard]] Site &site() noexcept { return m_site; }
+    [[nodiscard]] const RawServer &server() const noexcept { return *m_server; }
+
+private:
+    [[nodiscard]] std::string idOf(const std::string &service) const
+    {
+        return service + '-' + std::to_string(m_number);
+    }
+
+    Site m_site;
+    std::unique_ptr<RawServer> m_server;
+    int m_number = 0;
+    int m_calls = 0;
+};
+
+/// Checks that callers of both versions see that the answer is broken off.
+void checkBroken(RawSite &site, const std::string &name, const std::string &path, const RawResponse &response,
+                 const std::string &body = "{}")
+{
+    CAPTURE(name);
+    CAPTURE(path);
+    for (const std::string version : {"1.1", "1.0"}) {
+        CAPTURE(version);
+        site.use(response);
+        const RawAnswer answer = site.call(path, version, body);
+        CHECK(site.server().requests() > 0);
+        const bool isSuccess = statusOf(answer) == 200 && looksComplete(answer, version == "1.1");
+        CHECK_FALSE(isSuccess);
+        CHECK(answer.end != RawAnswer::End::TimedOut);
+    }
+}
+
+/// A response that has no end of its own, with an event now and then.
+RawResponse endlessStream()
+{
+    return {inChunks(StreamHead), chunk(Event), -1, std::chrono::milliseconds(50)};
+}
+
+} // namespace
+
+TEST_CASE(
+    "broken off: a stream that ends inside an event or before the first one is not passed on as complete")
+{
+    RawSite site("broken-stream");
+    const std::string cut = Event + HalfEvent;
+    for (const std::string path : {"/stream/", "/streamonce/"}) {
+        checkBroken(site, "length", path, {withLength(StreamHead, cut.size()) + cut, "", 0});
+        checkBroken(site, "chunks", path, {inChunks(StreamHead) + chunk(cut) + "0\r\n\r\n", "", 0});
+        checkBroken(site, "connection", path, {StreamHead + "\r\n" + cut, "", 0});
+        checkBroken(site, "connection, no event", path, {StreamHead + "\r\n", "", 0});
+        checkBroken(site, "connection, half an event", path, {StreamHead + "\r\n" + HalfEvent, "", 0});
+    }
+}
+
+TEST_CASE("broken off: an answer whose connection ends or is reset too early is not passed on as complete")
+{
+    RawSite site("broken-connection");
+    for (const bool resets : {false, true}) {
+        CAPTURE(resets);
+        for (const std::string path : {"/stream/", "/streamonce/"}) {
+            checkBroken(site, "length", path,
+                        {withLength(StreamHead, 2 * Event.size()), Event, 1, {}, resets});
+            checkBroken(site, "chunks", path, {inChunks(StreamHead), chunk(Event), 1, {}, resets});
+        }
+        checkBroken(site, "length", "/plain/", {withLength(PlainHead, 20), "body", 1, {}, resets});
+        checkBroken(site, "chunks", "/plain/", {inChunks(PlainHead), chunk("body"), 1, {}, resets});
+        checkBroken(site, "length, large", "/plain/",
+                    {withLength(PlainHead, 2 * LargeBody.size()), LargeBody, 1, {}, resets});
+        checkBroken(site, "chunks, large", "/plain/", {inChunks(PlainHead), chunk(LargeBody), 1, {}, resets});
+    }
+    const std::chrono::milliseconds pause{50};
+    for (const std::string path : {"/stream/", "/streamonce/"})
+        checkBroken(site, "connection", path, {StreamHead + "\r\n", Event, 1, pause, true});
+    checkBroken(site, "connection", "/plain/", {PlainHead + "\r\n", "body", 1, pause, true});
+    checkBroken(site, "connection, large", "/plain/", {PlainHead + "\r\n", LargeBody, 1, pause, true});
+}
+
+TEST_CASE(
+    "broken off: a reset that arrives while the request is being sent is not taken for the end of the answer")
+{
+    RawSite site("broken-early");
+    const std::string body(16 << 20, 'x');
+    const std::chrono::milliseconds pause{100};
+    for (const std::string path : {"/stream/", "/streamonce/"})
+        checkBroken(site, "stream", path, {StreamHead + "\r\n", Event, 2, pause, true}, body);
+    checkBroken(site, "plain", "/plain/", {PlainHead + "\r\n", "body", 2, pause, true}, body);
+}
+
+TEST_CASE("broken off: a stream that reaches its deadline does not end as complete")
+{
+    RawSite site("broken-deadline");
+    for (const std::string path : {"/stream/", "/streamonce/"})
+        checkBroken(site, "deadline", path, endlessStream());
+}
+
+TEST_CASE("broken off: an instance that is stopped or killed ends no stream as complete")
+{
+    for (const int signal : {SIGTERM, SIGKILL}) {
+        for (const std::string version : {"1.1", "1.0"}) {
+            CAPTURE(signal);
+            CAPTURE(version);
+            RawSite site("broken-stop-" + std::to_string(signal) + '-' + version);
+            site.use(endlessStream());
+            std::atomic<bool> begun = false;
+            auto answer = std::async(std::launch::async, [&] {
+                return site.call("/stream/", version, "{}", [&](const std::string &bytes) {
+                    begun = begun || bytes.find("data: a") != std::string::npos;
+                });
+            });
+            CHECK(waitUntil([&] { return begun.load(); }));
+            site.site().instances()[0].process->signal(signal);
+            const RawAnswer received = answer.get();
+            CHECK(statusOf(received) == 200);
+            CHECK_FALSE(looksComplete(received, version == "1.1"));
+            CHECK(received.end != RawAnswer::End::TimedOut);
+        }
+    }
+}
+
+TEST_CASE("broken off: a whole answer reaches callers that know no chunks as complete, in every framing")
+{
+    RawSite site("whole");
+    for (const std::string path : {"/stream/", "/streamonce/", "/plain/"}) {
+        const std::string head = path == "/plain/" ? PlainHead : StreamHead;
+        const std::string body = Event + Event;
+        for (const std::string &bytes : {withLength(head, body.size()) + body, head + "\r\n" + body,
+                                         inChunks(head) + chunk(body) + "0\r\n\r\n"}) {
+            CAPTURE(bytes);
+            site.use({bytes, "", 0});
+            const RawAnswer answer = site.call(path, "1.0");
+            CHECK(statusOf(answer) == 200);
+            CHECK(looksComplete(answer, false));
+            CHECK(answer.bytes.ends_with("\r\n\r\n" + body));
+        }
+    }
+}
--- a/tests/integration/faulttest.cpp
+++ b/tests/integration/faulttest.cpp
@@ -271,6 +271,24 @@
     CHECK(hasExplicitEnd(result));
 }
 
+TEST_CASE(
+    "whole answers: a stream that breaks off in the middle of an event ends with an error event of its own")
+{
+    Cluster cluster("broken-event");
+    configureWorkload(cluster);
+    addDesk(cluster, "desk-1", "za");
+    addEngine(cluster, "engine-1", "za", 8, 4);
+    cluster.start(2);
+    REQUIRE(cluster.waitReady());
+    REQUIRE(call(cluster.upstream("engine-1").address, "POST", "/control", R"({"breakEvents":true})"));
+    const auto result = chat(cluster.instances()[0], "chat", "broken", R"({"tokens":3})", true);
+    CHECK(result.status == 200);
+    CHECK_FALSE(LoadGenerator::isComplete(result));
+    CHECK(result.body.find("data: {") == 0);
+    CHECK(result.body.find("\n\nevent: error\ndata: {") != std::string::npos);
+    CHECK(result.body.ends_with("}\n\n"));
+}
+
 TEST_CASE("waste: the run is cancelled when the caller disconnects, streamed or not")
 {
     Cluster cluster("cancel");
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -109,6 +109,7 @@
         m_firstTokenMs = integer(command, "firstTokenMs", m_firstTokenMs);
         m_stalled = flag(command, "mute");
         m_answersWrongId = flag(command, "crossed");
+        m_breaksEvents = flag(command, "breakEvents");
         if (flag(command, "resetCounts")) {
             m_runs.clear();
             m_started = m_completed = m_tokens = m_tokensWasted = m_cancelled = 0;
@@ -254,8 +255,13 @@
             const json::value event = {
                 {"id", responseId}, {"choices", json::array{json::object{{"index", 0}, {"delta", delta}}}}};
             const bool streaming = token > 0 || exchange.startStream(200, "text/event-stream", fields, fiber);
-            if (!streaming || !exchange.sendPiece("data: " + json::serialize(event) + "\n\n", fiber)
-                || exchange.callerGone()) {
+            const std::string bytes = "data: " + json::serialize(event) + "\n\n";
+            if (m_breaksEvents && token > 0) {
+                exchange.sendPiece(bytes.substr(0, bytes.size() / 2), fiber);
+                exchange.abort();
+                return false;
+            }
+            if (!streaming || !exchange.sendPiece(bytes, fiber) || exchange.callerGone()) {
                 ++m_cancelled;
                 m_tokensWasted += token + 1;
                 return false;
@@ -284,6 +290,7 @@
     bool m_reportsReady = true;
     bool m_stalled = false;
     bool m_answersWrongId = false;
+    bool m_breaksEvents = false;
     std::int64_t m_completedInColdStart = 0;
     std::int64_t m_running = 0;
     std::map<std::int64_t, int> m_waiting;
--- a/tests/support/rawserver.cpp
+++ b/tests/support/rawserver.cpp
@@ -80,6 +80,15 @@
     return true;
 }
 
+void RawServer::reset(int connection)
+{
+    const linger noLinger{1, 0};
+    ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger);
+    const std::lock_guard lock(m_mutex);
+    std::erase(m_connections, connection);
+    ::close(connection);
+}
+
 void RawServer::serve(int connection)
 {
     std::string request;
@@ -106,7 +115,9 @@
         if (m_response.pause.count() > 0)
             std::this_thread::sleep_for(m_response.pause);
     }
-    if (open)
+    if (open && m_response.resets)
+        reset(connection);
+    else if (open)
         ::shutdown(connection, SHUT_WR);
     else if (!m_stopping)
         ++m_closedByPeer;
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -18,8 +18,10 @@
     std::string filler;
     /// How often `filler` is sent before the server closes the connection; -1 until the peer closes it.
     int fillerCount = -1;
-    /// Pause between two sends.
+    /// Pause after each `filler`.
     std::chrono::milliseconds pause{0};
+    /// Whether the server resets the connection at the end instead of closing it.
+    bool resets = false;
 };
 
 /// A TCP server on loopback that sends bytes of the test's choice, whether or not they are HTTP. It stops
@@ -48,6 +50,7 @@
 private:
     void acceptConnections();
     void serve(int connection);
+    void reset(int connection);
     [[nodiscard]] bool sendAll(int connection, const std::string &bytes);
 
     RawResponse m_response;
