End answers to HTTP/1.0 callers with their connection, and break them off with a reset

Callers of HTTP/1.0 got chunks, which they take for the body, and each close of the connection for the end of the answer: at a failure of the upstream, at the deadline, when the instance stopped or was killed.

Cause: the server chose the framing of a response without regard to the version of the request, and broke answers off with a close, which marks the end of a body without length and chunks. Now such answers have neither, and from the head to the end of the body any close of the socket resets the connection, also that of a process that is killed. An exchange whose response has begun and not reached its end is aborted, however the handler returns.

--- a/include/chestnutsill/net/exchange.h
+++ b/include/chestnutsill/net/exchange.h
@@ -30,7 +30,7 @@
 
     /// Sends the head of a relayed response with these fields, besides those for connection and length. The
     /// pieces that follow add up to `length` bytes; without a length they are sent with chunked transfer
-    /// encoding.
+    /// encoding or, to a caller that speaks HTTP/1.0, end with the connection.
     virtual bool startRelay(int status, std::span<const HttpField> fields,
                             std::optional<std::uint64_t> length, const Fiber &fiber) = 0;
 
@@ -40,8 +40,8 @@
     /// Marks a streamed or relayed response as complete.
     virtual bool endStream(const Fiber &fiber) = 0;
 
-    /// Closes the connection without completing the response, so that the caller can tell that it is cut
-    /// short.
+    /// Ends the connection without completing the response, so that the caller can tell that it is cut short:
+    /// closes it or, if a close would mark the end of the response, resets it.
     virtual void abort() = 0;
 
     /// Whether the caller has closed its connection.
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -37,6 +37,8 @@
 namespace {
 
 constexpr std::size_t ReadSize = 16'384;
+/// HTTP/1.1, in Beast's notation.
+constexpr unsigned FirstVersionWithChunks = 11;
 /// Maximum number of bytes that are read ahead of the parser, besides the head of a request.
 constexpr std::size_t MaxReadAheadBytes = 65'536;
 /// Maximum time for which the input of a rejected request is read and discarded.
@@ -46,11 +48,14 @@
 class BeastExchange : public Exchange
 {
 public:
-    BeastExchange(beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, bool keepAlive)
+    /// Responses without a length to a caller that doesn't know chunks end with their connection.
+    BeastExchange(beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, bool keepAlive,
+                  bool knowsChunks)
         : m_stream(stream)
         , m_request(std::move(request))
         , m_limits(limits)
         , m_keepAlive(keepAlive)
+        , m_knowsChunks(knowsChunks)
     {}
 
     [[nodiscard]] const HttpRequest &request() const noexcept override { return m_request; }
@@ -73,13 +78,7 @@
     {
         http::response<http::empty_body> response(static_cast<http::status>(status), 11);
         setFields(response, contentType, fields);
-        response.chunked(true);
-        http::response_serializer<http::empty_body> serializer(response);
-        boost::system::error_code error;
-        m_stream.expires_after(m_limits.writeTimeout);
-        http::async_write_header(m_stream, serializer, fiber[error]);
-        m_streaming = true;
-        return checkResult(error);
+        return sendHead(response, std::nullopt, fiber);
     }
 
     bool startRelay(int status, std::span<const HttpField> fields, std::optional<std::uint64_t> length,
@@ -89,17 +88,7 @@
         for (const HttpField &field : fields)
             response.insert(field.name, field.value);
         response.keep_alive(m_keepAlive);
-        if (length)
-            response.content_length(*length);
-        else
-            response.chunked(true);
-        m_chunked = !length;
-        http::response_serializer<http::empty_body> serializer(response);
-        boost::system::error_code error;
-        m_stream.expires_after(m_limits.writeTimeout);
-        http::async_write_header(m_stream, serializer, fiber[error]);
-        m_streaming = true;
-        return checkResult(error);
+        return sendHead(response, length, fiber);
     }
 
     bool sendPiece(std::string_view piece, const Fiber &fiber) override
@@ -118,13 +107,13 @@
 
     bool endStream(const Fiber &fiber) override
     {
-        if (!m_chunked || m_failed) {
-            m_streaming = false;
-            return !m_failed;
-        }
         boost::system::error_code error;
-        m_stream.expires_after(m_limits.writeTimeout);
-        boost::asio::async_write(m_stream, http::make_chunk_last(), fiber[error]);
+        if (m_endsWithConnection && !m_failed)
+            setResetOnClose(false);
+        if (m_chunked && !m_failed) {
+            m_stream.expires_after(m_limits.writeTimeout);
+            boost::asio::async_write(m_stream, http::make_chunk_last(), fiber[error]);
+        }
         m_streaming = false;
         return checkResult(error);
     }
@@ -172,7 +161,43 @@
         return m_keepAlive && !m_failed && !m_streaming && !m_request.error;
     }
 
+    /// Whether a response has begun and not reached its end.
+    [[nodiscard]] bool isBrokenOff() const noexcept { return m_streaming; }
+
 private:
+    using Head = http::response<http::empty_body>;
+
+    /// Sends the head of a response whose body follows in pieces.
+    bool sendHead(Head &head, std::optional<std::uint64_t> length, const Fiber &fiber)
+    {
+        m_chunked = !length && m_knowsChunks;
+        m_endsWithConnection = !length && !m_knowsChunks;
+        if (length)
+            head.content_length(*length);
+        else if (m_chunked)
+            head.chunked(true);
+        if (m_endsWithConnection) {
+            m_keepAlive = false;
+            head.keep_alive(false);
+            // The caller takes a close for the end of the body. Until the end is reached the connection is
+            // reset however it is closed, also by the end of this process.
+            setResetOnClose(true);
+        }
+        http::response_serializer<http::empty_body> serializer(head);
+        boost::system::error_code error;
+        m_stream.expires_after(m_limits.writeTimeout);
+        http::async_write_header(m_stream, serializer, fiber[error]);
+        m_streaming = true;
+        return checkResult(error);
+    }
+
+    /// Sets whether closing the connection resets it.
+    void setResetOnClose(bool resets)
+    {
+        boost::system::error_code ignored;
+        m_stream.socket().set_option(boost::asio::socket_base::linger(resets, 0), ignored);
+    }
+
     template<typename Response>
     void setFields(Response &response, std::string_view contentType, std::span<const HttpField> fields)
     {
@@ -192,9 +217,12 @@
     HttpRequest m_request;
     const HttpLimits &m_limits;
     bool m_keepAlive;
+    bool m_knowsChunks;
     bool m_failed = false;
     bool m_streaming = false;
     bool m_chunked = true;
+    /// Whether the end of the connection marks the end of the response.
+    bool m_endsWithConnection = false;
     /// Set while the caller is watched; the pending wait holds a weak reference.
     std::shared_ptr<std::function<void()>> m_onGone;
 };
@@ -324,7 +352,8 @@
         if (!request)
             break;
         const ActiveRequest active(state.active);
-        BeastExchange exchange(stream, std::move(*request), limits, parser.get().keep_alive());
+        BeastExchange exchange(stream, std::move(*request), limits, parser.get().keep_alive(),
+                               parser.get().version() >= FirstVersionWithChunks);
         state.handler(exchange, fiber);
         exchange.stopWatchingCaller();
         if (exchange.request().error) {
@@ -332,6 +361,8 @@
             discardInput(stream, fiber);
             return;
         }
+        if (exchange.isBrokenOff())
+            return exchange.abort();
         if (!exchange.isReusable())
             break;
     }
