A stream that ends inside an event is broken off, however its response is framed

Callers got a part of an event and then a proper end, as if the stream were complete, when an upstream gave its response a complete length or complete chunks around a part of the stream. A response that ended with its connection before the first event became a complete stream without events.

Cause: looked at the end of the last event only if the response ended with its connection; at any other end the rest of the event was passed on. Now the end of a stream counts only after a whole event, in each framing, for the first upstream and for one that continues. The rest of an event is never passed on: a stream that may be resumed continues at another upstream, any other is broken off.

entry "broken off: a stream that ends inside an event" failed before (12 assertions) and passes.

--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -101,6 +101,13 @@
     return head.length ? "length" : head.endsWithConnection ? "connection" : "chunks";
 }
 
+/// Whether the end of a response is that of its stream. A length or chunks don't prove it, since an upstream
+/// may frame what it has; without them, a connection that ends before the first event proves nothing.
+bool isWholeStream(const EventSplitter &splitter, const HttpHead &head)
+{
+    return splitter.pendingBytes().empty() && (splitter.eventCount() > 0 || !head.endsWithConnection);
+}
+
 void recordFailure(UpstreamAttempt &attempt, AttemptResult result, std::string reason)
 {
     attempt.connectionBroke =
@@ -295,20 +302,21 @@
 void Router::relayEventStream(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
                               const Fiber &fiber)
 {
-    context.eventSplitter.reset();
+    EventSplitter &splitter = context.eventSplitter;
+    splitter.reset();
     for (;;) {
         const auto piece = readPiece(m_state, context, attempt, fiber);
-        const bool isCutShort = piece && piece->empty() && head.endsWithConnection
-                                && !context.eventSplitter.pendingBytes().empty();
-        if (!piece || isCutShort) {
+        if (!piece) {
+            recordFailure(attempt, AttemptResult::Broken, readFailureReason(context, attempt));
+            return;
+        }
+        if (piece->empty() && !isWholeStream(splitter, head)) {
             recordFailure(attempt, AttemptResult::Broken,
-                          isCutShort ? "the stream ended in the middle of an event"
-                                     : readFailureReason(context, attempt));
+                          "the stream ended inside an event or before the first");
             return;
         }
-        const std::string events = piece->empty() ? std::string(context.eventSplitter.pendingBytes())
-                                                  : context.eventSplitter.push(*piece);
-        if (context.eventSplitter.pendingBytes().size() > MaxPendingEventBytes) {
+        const std::string events = splitter.push(*piece);
+        if (splitter.pendingBytes().size() > MaxPendingEventBytes) {
             recordFailure(attempt, AttemptResult::Broken, "an event of the stream is too large");
             return;
         }
