A reset that the sending of a request consumes is not the end of its answer

Callers got an answer without length and chunks as complete although its connection had been reset, if the upstream answered before it had read the request: long prompts, plain requests as well as streams.

Cause: the kernel reports a reset once, to the first operation on the socket. While a request is still being sent this is the write, whose error nobody looked at, and the read then finds an ordinary end of the connection. The client now keeps the error of the write, and an end of the connection after it marks no end of a body.

entry "broken off: a reset that arrives while the request is being sent" failed before (6 assertions) and passes.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -31,6 +31,8 @@
     bool timedOut = false;
     /// Request of `startSend`, until it has been sent completely.
     std::optional<http::request<http::span_body<const char>>> outgoing;
+    /// Why sending it failed. The socket reports a reset only once: to the read or to the write.
+    boost::system::error_code sendError;
 
     bool checkResult(std::string_view operation, const boost::system::error_code &error)
     {
@@ -126,12 +128,14 @@
 void HttpClient::startSend(const HttpCall &call, milliseconds timeout)
 {
     auto &request = m_impl->outgoing.emplace();
+    m_impl->sendError = {};
     setHead(request, call, m_impl->host);
     request.body() = {call.body.data(), call.body.size()};
     request.prepare_payload();
     m_impl->stream->expires_after(timeout);
     http::async_write(*m_impl->stream, request,
                       [impl = m_impl](const boost::system::error_code &error, std::size_t) {
+                          impl->sendError = error;
                           if (!error)
                               impl->outgoing.reset();
                       });
@@ -188,6 +192,8 @@
         http::async_read_some(*m_impl->stream, m_impl->buffer, parser, fiber[error]);
         if (error == http::error::need_buffer)
             error = {};
+        if (!error && parser.is_done() && parser.need_eof())
+            error = m_impl->sendError;
         if (!m_impl->checkResult("read response body", error))
             return std::nullopt;
         piece.assign(m_impl->piece.data(), m_impl->piece.size() - parser.get().body().size);
