Own interface: pass on whole events only, so that an error event stands by itself

Callers of the own interface got the error event of a stream that broke off inside an event as a part of that event: the stream then ended properly and nothing in it was an error.

Cause: pieces were passed on as they arrived, and the error event was appended to whatever came last. Now streams are split at the ends of events, as on the platform, with the same bound of an incomplete one.

integration "whole answers: a stream that breaks off" failed before and passes.

--- a/include/chestnutsill/router/eventsplitter.h
+++ b/include/chestnutsill/router/eventsplitter.h
@@ -11,6 +11,9 @@
 class EventSplitter
 {
 public:
+    /// Maximum size of an incomplete event that a caller of `push` should accept.
+    static constexpr std::size_t MaxPendingBytes = 1 << 20;
+
     /// Appends the next bytes of the stream and returns the events that they complete, byte for byte.
     [[nodiscard]] std::string push(std::string_view bytes);
 
--- a/src/daemon/pipeline.cpp
+++ b/src/daemon/pipeline.cpp
@@ -2,6 +2,7 @@
 
 #include "chestnutsill/net/oneshotchannel.h"
 #include "chestnutsill/observe/log.h"
+#include "chestnutsill/router/eventsplitter.h"
 
 #include <algorithm>
 #include <array>
@@ -185,22 +186,31 @@
 {
     bool started = false;
     HttpHead upstreamHead;
+    EventSplitter splitter;
+    const auto send = [&](std::string_view events) {
+        if (!started && !events.empty()) {
+            started = true;
+            const std::array<HttpField, 1> fields{{{"chestnutsill-class", call.requestClass->name}}};
+            if (!exchange.startStream(upstreamHead.status, upstreamHead.field("content-type"), fields, fiber))
+                return false;
+        }
+        return exchange.sendPiece(events, fiber) && !exchange.callerGone();
+    };
     UpstreamSink sink;
     sink.head = [&](const HttpHead &head) {
         upstreamHead = head;
+        splitter.reset();
         return true;
     };
+    // Only whole events are sent, so that an error event can follow each of them.
     sink.piece = [&](std::string_view piece) {
-        if (!started) {
-            started = true;
-            const std::array<HttpField, 1> fields{{{"chestnutsill-class", call.requestClass->name}}};
-            if (!exchange.startStream(upstreamHead.status, upstreamHead.field("content-type"), fields, fiber))
-                return false;
-        }
-        return exchange.sendPiece(piece, fiber) && !exchange.callerGone();
+        const std::string events = splitter.push(piece);
+        return splitter.pendingBytes().size() <= EventSplitter::MaxPendingBytes && send(events);
     };
     Attempt last;
     const Answer answer = run(call, sink, last, fiber);
+    if (last.verdict == Verdict::Answered)
+        (void)send(splitter.pendingBytes());
     recordResult(call, answer, last);
     if (!started)
         return respond(exchange, call, answer, fiber);
--- a/src/daemon/upstreamcall.cpp
+++ b/src/daemon/upstreamcall.cpp
@@ -117,7 +117,7 @@
         attempt.tokens = scanner.tokens();
         attempt.relayed = true;
         if (!sink.piece(*piece)) {
-            fail(attempt, RunOutcome::Cancelled, "the caller disconnected");
+            fail(attempt, RunOutcome::Cancelled, "the response can't be passed on");
             return;
         }
     }
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -16,8 +16,6 @@
 /// Responses up to this size are buffered, so that another upstream can be tried after a failure; larger ones
 /// are forwarded as they arrive.
 constexpr std::size_t MaxBufferedResponseBytes = 1 << 20;
-/// Maximum size of an incomplete event of a stream.
-constexpr std::size_t MaxPendingEventBytes = 1 << 20;
 /// Maximum size of the body of a response that is not forwarded, read to keep its connection.
 constexpr std::size_t MaxDiscardedBytes = 65'536;
 /// Number of responses to other requests that are skipped on one connection.
@@ -316,7 +314,7 @@
             return;
         }
         const std::string events = splitter.push(*piece);
-        if (splitter.pendingBytes().size() > MaxPendingEventBytes) {
+        if (splitter.pendingBytes().size() > EventSplitter::MaxPendingBytes) {
             recordFailure(attempt, AttemptResult::Broken, "an event of the stream is too large");
             return;
         }
