--- a/include/chestnutsill/policy/catalog.h
+++ b/include/chestnutsill/policy/catalog.h
@@ -25,6 +25,8 @@
     /// IP address and port.
     std::string address;
     std::string zone;
+    /// Version of the upstream's software. Several may serve side by side, in no order.
+    std::string softwareVersion;
     /// Maximum number of requests processed concurrently.
     int slots = 0;
     /// Whether the upstream is draining and accepts no new requests.
--- a/include/chestnutsill/router/callerrequest.h
+++ b/include/chestnutsill/router/callerrequest.h
@@ -24,6 +24,10 @@
     /// How long the caller waits for the response, if the request states it.
     std::optional<milliseconds> callerTimeout;
     Prompt prompt;
+    /// If the caller takes up a stream that has broken off: the id of its attempt that received the first
+    /// event, and the id of the last event that it has; empty if it names none.
+    std::string resumedAttemptId;
+    std::string lastEventId;
     /// Header fields that are forwarded to the upstream unchanged.
     std::vector<HttpField> fields;
     std::string body;
--- a/src/daemon/statetext.cpp
+++ b/src/daemon/statetext.cpp
@@ -26,6 +26,7 @@
             {"service", entry.service},
             {"address", entry.address},
             {"zone", entry.zone},
+            {"softwareVersion", entry.softwareVersion},
             {"usable", state.catalog.isUsable(entry.id)},
             {"leaving", entry.leaving},
             {"coldForMs", std::max(0.0, toMs(record.coldUntil - now))},
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -313,7 +313,10 @@
                           "the stream ended inside an event or before the first");
             return;
         }
+        const std::size_t eventsBefore = splitter.eventCount();
         const std::string events = splitter.push(*piece);
+        if (eventsBefore == 0 && splitter.eventCount() > 0)
+            context.eventVersions.push_back(attempt.softwareVersion);
         if (splitter.pendingBytes().size() > EventSplitter::MaxPendingBytes) {
             recordFailure(attempt, AttemptResult::Broken, "an event of the stream is too large");
             return;
@@ -381,6 +384,7 @@
         log(LogLevel::Info, "attempt-failed",
             {{"requestId", context.request.attemptId},
              {"upstream", attempt.upstream},
+             {"softwareVersion", attempt.softwareVersion},
              {"verdict", std::string(toString(attempt.verdict))},
              {"status", static_cast<std::int64_t>(attempt.status)},
              {"reason", context.callerGone ? std::string("caller-gone") : attempt.reason},
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -185,6 +185,7 @@
         const UpstreamRecord &record = *m_state.catalog.find(candidates[selection->candidate].upstream);
         attempt.upstream = record.entry.id;
         attempt.address = record.entry.address;
+        attempt.softwareVersion = record.entry.softwareVersion;
         attempt.tokensToPrefill = selection->tokensToPrefill;
         if (context.service != nullptr && context.service->engine)
             attempt.expectedFirstTokenMs = selection->firstTokenMs;
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -21,6 +21,8 @@
 {
     std::string upstream;
     std::string address;
+    /// Version of the upstream's software, as published when it was selected.
+    std::string softwareVersion;
     /// Prompt tokens that the upstream is expected to prefill.
     double tokensToPrefill = 0;
     /// Whether the upstream had no other prompt to prefill when it was selected, as far as was known.
@@ -97,6 +99,8 @@
     bool responseEnded = false;
     int status = 0;
     Instant firstByteAt{};
+    /// Software versions of the upstreams whose events were forwarded, one for each attempt.
+    std::vector<std::string> eventVersions;
     /// How the end of the last upstream's response is marked.
     std::string_view upstreamFraming;
     EventSplitter eventSplitter;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace chestnutsill {
 
@@ -34,6 +35,14 @@
     return parts;
 }
 
+std::string joined(std::span<const std::string> words)
+{
+    std::string text;
+    for (const std::string &word : words)
+        text += (text.empty() ? "" : ",") + word;
+    return text;
+}
+
 /// Whether the request may run more than once.
 bool isIdempotent(const Route &route)
 {
@@ -266,6 +275,9 @@
          {"reason", answer ? answer->reason : std::string()},
          {"upstream", context.triedUpstreams.empty() ? std::string() : context.triedUpstreams.back()},
          {"attempts", static_cast<std::int64_t>(context.triedUpstreams.size())},
+         {"eventVersions", joined(context.eventVersions)},
+         {"resumes", context.request.resumedAttemptId},
+         {"lastEventId", context.request.lastEventId},
          {"upstreamFraming", std::string(context.upstreamFraming)},
          {"events", static_cast<std::int64_t>(context.eventSplitter.eventCount())},
          {"pendingBytes", static_cast<std::int64_t>(context.eventSplitter.pendingBytes().size())},
--- a/tests/platform/publishedtest.cpp
+++ b/tests/platform/publishedtest.cpp
@@ -109,6 +109,7 @@
     CHECK(entry->id == "u1");
     CHECK(entry->service == "chat");
     CHECK(entry->address == "127.0.0.1:8080");
+    CHECK(entry->softwareVersion == "v1");
     CHECK(entry->slots == 64);
     CHECK(entry->coldRemaining == milliseconds(1200));
     CHECK(entry->startUnixMs == 1700000000000);
@@ -123,6 +124,7 @@
     CHECK_FALSE(entryWith("slots", 0));
     CHECK_FALSE(entryWith("address", "localhost"));
     CHECK_FALSE(entryWith("zone", 3));
+    CHECK_FALSE(entryWith("version", 2));
     CHECK_FALSE(entryWith("cold_remaining_ms", "cold"));
     CHECK_FALSE(entryWith("born", 1.5));
     ValidationErrors errors;
--- a/tests/platform/wiretest.cpp
+++ b/tests/platform/wiretest.cpp
@@ -58,6 +58,12 @@
     CHECK(valueOf(call.fields, "X-Other") == "kept");
     CHECK(valueOf(call.fields, "X-Attempt-Id") == "a1");
     CHECK(valueOf(call.fields, "Authorization").empty());
+    CHECK(call.resumedAttemptId.empty());
+    HttpRequest resuming = request();
+    resuming.fields.push_back({"Resumes", " a0 "});
+    resuming.fields.push_back({"Last-Event-Id", "17"});
+    CHECK(decoded(resuming).resumedAttemptId == "a0");
+    CHECK(decoded(resuming).lastEventId == "17");
 }
 
 TEST_CASE("wire: reserved and hop-by-hop fields of a caller never reach an upstream; those of this system do")
@@ -113,6 +119,8 @@
         {"two hosts", {{"Host", "other.example"}}, "", "Host"},
         {"other coding", {{"Transfer-Encoding", "gzip, chunked"}}, "", "Transfer-Encoding"},
         {"deadline", {{"X-Deadline-Ms", "soon"}}, "X-Deadline-Ms", "X-Deadline-Ms"},
+        {"two resumed attempts", {{"Resumes", "a0"}, {"Resumes", "a2"}}, "", "Resumes"},
+        {"two last events", {{"Last-Event-Id", "1"}, {"Last-Event-Id", "2"}}, "", "Last-Event-Id"},
     };
     for (const Case &item : cases) {
         CAPTURE(item.name);
