--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -15,10 +15,11 @@
 
 /// Stand-in for an upstream of the users' platform. It answers a plain request after `workMs` and a streaming
 /// request with `events` events, one each `eventMs`, and counts executions. Commands to /control have the
-/// fields `mode`, `events`, `eventMs`, `workMs` and `rate`, the request rate that its responses name unless
-/// it is empty. Modes: ok; error (status 500); shed (rejects without executing); reset (executes, then resets
-/// the connection); mute (executes, then sends nothing); cut (breaks off a stream in the middle of an event);
-/// stray (sends a response to another request first). A request whose body contains `poison` ends the
+/// fields `mode`, `events`, `eventMs`, `workMs`, `version`, which its events name unless it is empty, and
+/// `rate`, the request rate that its responses name unless it is empty. Modes: ok; error (status 500); shed
+/// (rejects without executing); reset (executes, then resets the connection); mute (executes, then sends
+/// nothing); cut (breaks off a stream in the middle of an event); cut-first (the same, unless it resumes
+/// one); stray (sends a response to another request first). A request whose body contains `poison` ends the
 /// process, and so does, after the first event, a streaming request whose prompt has the shared part `dead`.
 /// Options: listen, id.
 class Replica
@@ -66,6 +67,8 @@
         m_workMs = integer(command, "workMs", m_workMs);
         if (const auto *rate = command.if_contains("rate"))
             m_rate = json::value_to<std::string>(*rate);
+        if (const auto *version = command.if_contains("version"))
+            m_version = json::value_to<std::string>(*version);
         respondJson(exchange, 200, json::object{{"ok", true}}, fiber);
     }
 
@@ -115,14 +118,16 @@
         const auto crashingPart = parts.find(",dead:");
         const bool hasCrashingPart =
             crashingPart != std::string::npos && parts.find(',', crashingPart + 1) != std::string::npos;
-        const std::string &last = m_lastEventId;
+        const std::string last(exchange.request().field("Last-Event-Id"));
+        const std::string data = m_version.empty() ? "token" : "token of " + m_version;
+        const bool isCut = m_mode == "cut" || (m_mode == "cut-first" && last.empty());
         std::int64_t next = last.empty() ? 1 : std::stoll(last) + 1;
         std::vector<HttpField> all = fields;
         all.push_back({"Content-Type", "text/event-stream"});
         exchange.startRelay(200, all, std::nullopt, fiber);
         for (; next <= m_events; ++next) {
-            const std::string event = "id: " + std::to_string(next) + "\ndata: token\n\n";
-            if (m_mode == "cut" && next > m_events / 2) {
+            const std::string event = "id: " + std::to_string(next) + "\ndata: " + data + "\n\n";
+            if ((isCut || m_mode == "cut") && next > m_events / 2) {
                 exchange.sendPiece(event.substr(0, event.size() / 2), fiber);
                 return exchange.abort();
             }
@@ -151,6 +156,7 @@
     std::int64_t m_eventMs = 10;
     std::int64_t m_workMs = 10;
     std::string m_rate;
+    std::string m_version;
     std::map<std::string, std::int64_t> m_runs;
     std::int64_t m_started = 0;
     std::int64_t m_abandoned = 0;
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -129,14 +129,24 @@
     const std::string key = "servers/" + upstream.id;
     if (state.empty())
         return removeItem(key);
-    writeItem(key, json::serialize(json::object{{"service", upstream.service},
-                                                {"address", upstream.publishedAddress},
-                                                {"zone", upstream.zone},
-                                                {"version", "v1"},
-                                                {"slots", 16},
-                                                {"state", state},
-                                                {"cold_remaining_ms", coldMs},
-                                                {"sequence", 1}}));
+    json::object entry{{"service", upstream.service},
+                       {"address", upstream.publishedAddress},
+                       {"zone", upstream.zone},
+                       {"version", upstream.softwareVersion},
+                       {"slots", 16},
+                       {"state", state},
+                       {"cold_remaining_ms", coldMs},
+                       {"sequence", 1}};
+    if (upstream.startUnixMs != 0)
+        entry["born"] = upstream.startUnixMs;
+    writeItem(key, json::serialize(entry));
+}
+
+void Site::setSoftwareVersion(Upstream &upstream, const std::string &version)
+{
+    upstream.softwareVersion = version;
+    commandUpstream(upstream, json::serialize(json::object{{"version", version}}));
+    publishUpstream(upstream, "ready");
 }
 
 void Site::commandProxy(const Upstream &upstream, const std::string &command)
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -41,6 +41,9 @@
         /// Address that the upstream listens on, and the published one, which differs behind a proxy.
         std::string address;
         std::string publishedAddress;
+        std::string softwareVersion = "v1";
+        /// Start of the process as published; not published if it is 0.
+        std::int64_t startUnixMs = 0;
         std::string proxyControl;
         std::optional<Process> process;
         std::optional<Process> proxy;
@@ -61,6 +64,9 @@
     Upstream &addUpstream(const std::string &id, const std::string &service, const std::string &zone = "a",
                           bool withProxy = false);
 
+    /// Sets the software version that an upstream publishes and names in the events of its streams.
+    void setSoftwareVersion(Upstream &upstream, const std::string &version);
+
     /// Sends a control command to the proxy of an upstream.
     static void commandProxy(const Upstream &upstream, const std::string &command);
 
