Continue streams within an answer only at the software version that began them

Cause: the upstream that continues a stream was chosen like any other. Upstreams of one service counted as interchangeable, whatever software they run. Now the version of the upstream that sends the first event is the only one at which the stream may go on, also under load, in cold start and with permits, because the candidates are filtered before anything else looks at them.

The version is that of the entry, and only if it is certain that the entry describes the process that answers: when chosen and at the first event. It is not after a refused connection, until an entry of another process is written or for 5 s with the store reachable, nor for an entry by which a restored store shows another process. A stream that begins so is not continued.

--- a/include/chestnutsill/policy/catalog.h
+++ b/include/chestnutsill/policy/catalog.h
@@ -50,6 +50,9 @@
     std::optional<Instant> removeAt;
     /// Until when it is not used; set if a restored store shows it although it had been removed before.
     std::optional<Instant> withheldUntil;
+    /// Since when the process that runs may be another one than the entry describes; see
+    /// `Catalog::runsVersion`.
+    std::optional<Instant> doubtedSince;
 };
 
 /// The routing table, upstream entries and availability zones out of service, as far as this instance has
@@ -67,6 +70,9 @@
     /// restored.
     static constexpr std::chrono::seconds RemovalMemory{60};
 
+    /// Time after which an upstream that may have been restarted would have published its new entry.
+    static constexpr milliseconds DoubtTime{5000};
+
     /// Puts a routing table into force if it is not null and its version is higher than that of the current
     /// one. Returns whether it did.
     bool applyTable(std::shared_ptr<const RoutingTable> table);
@@ -100,7 +106,8 @@
     void removeUpstream(std::string_view id, StoreRevision revision, Instant now);
 
     /// Begins a new cold start of an upstream that appears to have restarted, for example because it refused
-    /// a connection. It lasts as long as a cold start of its service.
+    /// a connection. It lasts as long as a cold start of its service. The software version that now runs is
+    /// not known for certain.
     void suspectRestart(std::string_view id, Instant now);
 
     /// Records that the store has been unreachable since `lastAnswerAt`.
@@ -135,6 +142,13 @@
     /// The record of an upstream, or null if it is unknown.
     [[nodiscard]] const UpstreamRecord *find(std::string_view id) const;
 
+    /// Whether the process that answers as an upstream is known for certain to run this software version. It
+    /// is not if the upstream may have been restarted since its entry was written, or if the entry may come
+    /// from the copy from which the store was restored: until an entry of another process is written, or for
+    /// `DoubtTime` and while the store is unreachable. A later write may still be one of the old process.
+    [[nodiscard]] bool runsVersion(const UpstreamRecord &record, std::string_view softwareVersion,
+                                   Instant now) const;
+
     /// Whether new requests may be sent to an upstream.
     [[nodiscard]] bool isUsable(std::string_view id) const;
 
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -134,6 +134,9 @@
                        const Fiber &fiber);
     void relayEventStream(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
                           const Fiber &fiber);
+    /// Notes the software version whose events follow. Returns false if they must not, because they would
+    /// continue those of another version or the version is not known for certain.
+    [[nodiscard]] bool beginEvents(RequestContext &context, const UpstreamAttempt &attempt);
     /// Whether a part of the prompt is banned because it crashes upstreams; sets when to send the request
     /// again.
     [[nodiscard]] bool hasBannedPart(RequestContext &context) const;
--- a/src/policy/catalog.cpp
+++ b/src/policy/catalog.cpp
@@ -60,6 +60,11 @@
         record.coldUntil = std::max<Instant>(record.coldUntil, now + coldStartOf(entry.service));
     if (isFirstOfEra && !restarted && record.entry.leaving)
         entry.leaving = true;
+    const bool isOtherProcess = restarted || record.entry.softwareVersion != entry.softwareVersion;
+    if (isFirstOfEra && isOtherProcess)
+        record.doubtedSince = now;
+    else if (isOtherProcess)
+        record.doubtedSince.reset();
     record.withheldUntil.reset();
     if (const auto removed = m_removedUpstreams.find(entry.id); removed != m_removedUpstreams.end()) {
         if (revision.era > removed->second.era && entry.startUnixMs == removed->second.startUnixMs)
@@ -103,6 +108,13 @@
         return;
     UpstreamRecord &record = found->second;
     record.coldUntil = std::max<Instant>(record.coldUntil, now + coldStartOf(record.entry.service));
+    record.doubtedSince = now;
+}
+
+bool Catalog::runsVersion(const UpstreamRecord &record, std::string_view softwareVersion, Instant now) const
+{
+    const bool isDoubted = record.doubtedSince && (m_storeLost || now - *record.doubtedSince < DoubtTime);
+    return !isDoubted && record.entry.softwareVersion == softwareVersion;
 }
 
 void Catalog::recordStoreLost(Instant lastAnswerAt) noexcept
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -119,6 +119,8 @@
             || m_state.silenceDetector.isSilent(id)
             || (!filter.includeSuspected && m_state.silenceDetector.isSuspected(id)))
             continue;
+        if (context.streamVersion && !m_state.catalog.runsVersion(*record, *context.streamVersion, time))
+            continue;
         const bool isLimited = m_state.rateLimits.perSecond(id).has_value();
         if (isLimited
             && (contains(context.deniedUpstreams, id) || context.deniedUpstreams.size() >= MaxPermitRequests
@@ -186,6 +188,8 @@
         attempt.upstream = record.entry.id;
         attempt.address = record.entry.address;
         attempt.softwareVersion = record.entry.softwareVersion;
+        attempt.startUnixMs = record.entry.startUnixMs;
+        attempt.versionIsCertain = m_state.catalog.runsVersion(record, attempt.softwareVersion, time);
         attempt.tokensToPrefill = selection->tokensToPrefill;
         if (context.service != nullptr && context.service->engine)
             attempt.expectedFirstTokenMs = selection->firstTokenMs;
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -21,8 +21,11 @@
 {
     std::string upstream;
     std::string address;
-    /// Version of the upstream's software, as published when it was selected.
+    /// Version of the upstream's software and the start of its process, as published when it was selected.
     std::string softwareVersion;
+    std::int64_t startUnixMs = 0;
+    /// Whether that version was known for certain to run then.
+    bool versionIsCertain = false;
     /// Prompt tokens that the upstream is expected to prefill.
     double tokensToPrefill = 0;
     /// Whether the upstream had no other prompt to prefill when it was selected, as far as was known.
@@ -99,6 +102,9 @@
     bool responseEnded = false;
     int status = 0;
     Instant firstByteAt{};
+    /// The only software version at which the stream may go on; empty before its first event, and if the
+    /// version that began it is not known for certain.
+    std::optional<std::string> streamVersion;
     /// Software versions of the upstreams whose events were forwarded, one for each attempt.
     std::vector<std::string> eventVersions;
     /// How the end of the last upstream's response is marked.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -226,7 +226,7 @@
     const bool hasRun = attempt.verdict != Verdict::NotRun;
     if (hasRun && (!isIdempotent(*context.route) || context.possibleRuns >= context.route->maxAttempts))
         return false;
-    if (context.responseStarted && context.eventSplitter.lastEventId().empty())
+    if (context.responseStarted && (context.eventSplitter.lastEventId().empty() || !context.streamVersion))
         return false;
     // A request that was running at two crashes may be their cause, so this instance doesn't retry it.
     if (m_state.crashTracker.strikes(context.fingerprint, now()) + 1 >= CrashTracker::MaxStrikes)
--- a/tests/policy/catalogtest.cpp
+++ b/tests/policy/catalogtest.cpp
@@ -266,3 +266,48 @@
     catalog.updateUpstream(cold, {2, 11}, seconds(21));
     CHECK(catalog.find("u1")->coldUntil == seconds(25));
 }
+
+TEST_CASE("catalog: the software version of an upstream is not certain while another process may run")
+{
+    Catalog catalog;
+    catalog.applyTable(table(1));
+    UpstreamEntry engine = entry("u1");
+    engine.softwareVersion = "v1";
+    engine.startUnixMs = 100;
+    catalog.updateUpstream(engine, {1, 1}, seconds(1));
+    const auto runs = [&](std::string_view version, Instant now) {
+        return catalog.runsVersion(*catalog.find("u1"), version, now);
+    };
+    CHECK(runs("v1", seconds(1)));
+    CHECK_FALSE(runs("v2", seconds(1)));
+    catalog.suspectRestart("u1", seconds(2));
+    CHECK_FALSE(runs("v1", seconds(2)));
+    catalog.updateUpstream(engine, {1, 2}, seconds(3));
+    CHECK_FALSE(runs("v1", seconds(3)));
+    engine.startUnixMs = 200;
+    engine.softwareVersion = "v2";
+    catalog.updateUpstream(engine, {1, 3}, seconds(3));
+    CHECK(runs("v2", seconds(3)));
+    catalog.suspectRestart("u1", seconds(4));
+    CHECK(runs("v2", seconds(4) + Catalog::DoubtTime));
+    catalog.recordStoreLost(seconds(4));
+    CHECK_FALSE(runs("v2", seconds(60)));
+}
+
+TEST_CASE("catalog: a restored store that shows another process of an upstream leaves its version uncertain")
+{
+    Catalog catalog;
+    catalog.applyTable(table(1));
+    UpstreamEntry engine = entry("u1");
+    engine.softwareVersion = "v2";
+    engine.startUnixMs = 200;
+    catalog.updateUpstream(engine, {1, 9}, seconds(1));
+    UpstreamEntry copy = engine;
+    copy.softwareVersion = "v1";
+    copy.startUnixMs = 100;
+    catalog.updateUpstream(copy, {2, 5}, seconds(2));
+    CHECK_FALSE(catalog.runsVersion(*catalog.find("u1"), "v1", seconds(2)));
+    CHECK_FALSE(catalog.runsVersion(*catalog.find("u1"), "v2", seconds(2)));
+    catalog.updateUpstream(engine, {2, 6}, seconds(3));
+    CHECK(catalog.runsVersion(*catalog.find("u1"), "v2", seconds(3)));
+}
