--- a/include/chestnutsill/chestnutsill.h
+++ b/include/chestnutsill/chestnutsill.h
@@ -37,6 +37,7 @@
 #include "chestnutsill/policy/routing.h"
 #include "chestnutsill/policy/silencedetector.h"
 #include "chestnutsill/policy/storerevision.h"
+#include "chestnutsill/policy/streamorigins.h"
 #include "chestnutsill/policy/upstreamload.h"
 #include "chestnutsill/policy/upstreamratelimits.h"
 #include "chestnutsill/policy/upstreamselection.h"
--- a/include/chestnutsill/fwd.h
+++ b/include/chestnutsill/fwd.h
@@ -26,6 +26,7 @@
 class RetryBudget;
 class RevisionLagDetector;
 class SilenceDetector;
+class StreamOrigins;
 class UpstreamRateLimits;
 class WindowedRetryBudget;
 
@@ -79,6 +80,7 @@
 struct ServiceTimeModel;
 struct SlotRequest;
 struct StoreRevision;
+struct StreamOrigin;
 struct SuspectPart;
 struct Ticket;
 struct Tier;
--- a/include/chestnutsill/peer/gossipmessage.h
+++ b/include/chestnutsill/peer/gossipmessage.h
@@ -4,6 +4,7 @@
 #include "chestnutsill/policy/membership.h"
 #include "chestnutsill/policy/requestpermits.h"
 #include "chestnutsill/policy/storerevision.h"
+#include "chestnutsill/policy/streamorigins.h"
 #include "chestnutsill/policy/upstreamload.h"
 #include "chestnutsill/policy/upstreamratelimits.h"
 
@@ -28,15 +29,22 @@
     Instant delay{};
 };
 
-/// Request of an instance for a permit, or the reply to it.
+/// Request of an instance to a peer, or the reply to it.
 template<typename Content>
-struct PermitMessage
+struct PeerQuery
 {
     /// Chosen by the asking instance.
     std::uint64_t id = 0;
     Content content;
 };
 
+/// Tells a peer the origin of a stream that has begun.
+struct StreamNotice
+{
+    std::uint64_t stream = 0;
+    StreamOrigin origin;
+};
+
 /// Heartbeat with gossip about other instances and upstreams, sent to peers at short intervals as one
 /// datagram.
 struct GossipMessage
@@ -73,8 +81,12 @@
     /// Request rates that upstreams name in their responses; see `UpstreamRateLimits`.
     std::vector<RateLimitNotice> rateLimits;
     /// A message with one of these holds nothing else but `self` and is not a heartbeat.
-    std::optional<PermitMessage<PermitRequest>> permitRequest;
-    std::optional<PermitMessage<Permit>> permit;
+    std::optional<PeerQuery<PermitRequest>> permitRequest;
+    std::optional<PeerQuery<Permit>> permit;
+    std::optional<StreamNotice> streamNotice;
+    /// The content of the request is the stream; that of the reply is nothing if its origin is not known.
+    std::optional<PeerQuery<std::uint64_t>> originRequest;
+    std::optional<PeerQuery<std::optional<StreamOrigin>>> origin;
 };
 
 /// Encodes a heartbeat as a packed Cap'n Proto message.
--- a/include/chestnutsill/policy/membership.h
+++ b/include/chestnutsill/policy/membership.h
@@ -141,6 +141,11 @@
     /// Nothing if it is this instance.
     [[nodiscard]] std::optional<InstanceStatus> firstRanked(std::uint64_t key, Instant now) const;
 
+    /// Peer addresses of up to `count` live instances other than this one, those that rank first for a key by
+    /// rendezvous hash, in that order.
+    [[nodiscard]] std::vector<std::string> rankedPeers(std::uint64_t key, std::size_t count,
+                                                       Instant now) const;
+
     /// Notes whether the instances that accept callers have changed. Call once per round.
     void checkActive(Instant now);
 
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -14,6 +14,7 @@
 #include "chestnutsill/policy/prefillrate.h"
 #include "chestnutsill/policy/requestpermits.h"
 #include "chestnutsill/policy/silencedetector.h"
+#include "chestnutsill/policy/streamorigins.h"
 #include "chestnutsill/policy/upstreamload.h"
 #include "chestnutsill/policy/upstreamratelimits.h"
 #include "chestnutsill/policy/upstreamselection.h"
@@ -64,6 +65,7 @@
     UpstreamRateLimits rateLimits;
     PermitIssuer permitIssuer;
     CrashTracker crashTracker;
+    StreamOrigins streamOrigins;
     ConnectionPool connections;
     Metrics metrics;
     /// Sends a heartbeat at once, for events that peers must learn of before the next regular one.
@@ -71,6 +73,10 @@
     /// Asks the instance at a peer address for a permit. Returns nothing without a reply.
     std::function<std::optional<Permit>(const std::string &address, const PermitRequest &, const Fiber &)>
         requestPermit;
+    /// Tells peers the origin of a stream that begins.
+    std::function<void(std::uint64_t stream, const StreamOrigin &)> tellOrigin;
+    /// Asks peers for the origin of a stream. Returns nothing if none of them knows it for certain.
+    std::function<std::optional<StreamOrigin>(std::uint64_t stream, const Fiber &)> requestOrigin;
     /// Whether this instance is about to stop, so that callers are asked to close their connections.
     bool leaving = false;
     /// Whether all further requests are refused.
@@ -103,17 +109,23 @@
 private:
     [[nodiscard]] std::optional<Answer> resolveRoute(RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> authorize(RequestContext &context) const;
+    /// Finds out, for a request that takes up a stream, at which service and software version it may go on.
+    /// Refuses it if that is not known for certain.
+    [[nodiscard]] std::optional<Answer> resolveOrigin(RequestContext &context, const Fiber &fiber);
     [[nodiscard]] std::optional<Answer> run(RequestContext &context, const Fiber &fiber);
     /// Which upstreams are candidates for a request.
     struct CandidateFilter
     {
         /// Whether upstreams that are suspected of being silent are included.
         bool includeSuspected = false;
+        /// Whether upstreams that the outlier detector has ejected are included.
+        bool includeEjected = false;
         /// How long the request may wait for the permit of one that accepts a limited rate.
         milliseconds permitWait{};
     };
     /// Upstreams that a request may be sent to. Those that it would have to wait for, and suspected ones, are
-    /// left out while there are others, and silent ones always.
+    /// left out while there are others, and silent ones always. Ejected ones are used only to continue a
+    /// stream for which there are no others.
     [[nodiscard]] std::vector<UpstreamCandidate> collectCandidates(const RequestContext &context,
                                                                    Instant time) const;
     [[nodiscard]] std::vector<UpstreamCandidate>
@@ -134,8 +146,9 @@
                        const Fiber &fiber);
     void relayEventStream(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
                           const Fiber &fiber);
-    /// Notes the software version whose events follow. Returns false if they must not, because they would
-    /// continue those of another version or the version is not known for certain.
+    /// Notes the software version whose events follow, and tells peers where the stream may go on. Returns
+    /// false if the events must not follow, because they would continue a stream and the version of the
+    /// upstream is not known for certain.
     [[nodiscard]] bool beginEvents(RequestContext &context, const UpstreamAttempt &attempt);
     /// Whether a part of the prompt is banned because it crashes upstreams; sets when to send the request
     /// again.
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -140,6 +140,12 @@
                                        const Fiber &fiber) {
             return m_gossip.requestPermit(address, request, fiber);
         };
+        m_state.tellOrigin = [this](std::uint64_t stream, const StreamOrigin &origin) {
+            m_gossip.tellOrigin(stream, origin);
+        };
+        m_state.requestOrigin = [this](std::uint64_t stream, const Fiber &fiber) {
+            return m_gossip.requestOrigin(stream, fiber);
+        };
         startFiber(m_io, [this](const Fiber &fiber) { m_storeWatcher.run(fiber); });
         startFiber(m_io, [this](const Fiber &fiber) { m_gossip.run(fiber); });
         startFiber(m_io, [this](const Fiber &fiber) { m_router.monitorSilence(m_io, fiber); });
@@ -273,6 +279,7 @@
             m_state.catalog.removeExpired(now());
             m_state.connections.expire(now());
             m_state.permitIssuer.expire(now());
+            m_state.streamOrigins.expire(now());
             expireRateLimits();
             // The file may change without a SIGHUP.
             if (period % SettingsCheckPeriods == 0 && settingsText(m_settingsPath) != m_settingsText)
--- a/src/daemon/udpgossip.cpp
+++ b/src/daemon/udpgossip.cpp
@@ -4,7 +4,6 @@
 #include "chestnutsill/net/address.h"
 #include "chestnutsill/observe/log.h"
 #include "chestnutsill/policy/hash.h"
-#include "daemon/identity.h"
 
 #include <algorithm>
 #include <set>
@@ -22,6 +21,8 @@
 constexpr std::size_t MaxSilentUpstreams = 64;
 /// Time for the reply to a request for a permit: many round trips between instances.
 constexpr milliseconds PermitTimeout{100};
+/// Time for the replies to a request for the origin of a stream, whose caller would have to begin it anew.
+constexpr milliseconds OriginTimeout{250};
 
 std::optional<Udp::endpoint> toEndpoint(std::string_view address)
 {
@@ -39,7 +40,6 @@
     , m_state(state)
     , m_handlers(std::move(handlers))
     , m_incarnation(m_handlers.self().incarnation)
-    , m_lastPermitId(randomNumber())
 {
     const auto endpoint = toEndpoint(address);
     if (!endpoint)
@@ -59,12 +59,8 @@
                 return;
             if (!error) {
                 const auto message = decodeGossip({m_buffer.data(), size});
-                if (message && message->permitRequest)
-                    issuePermit(*message, now());
-                else if (message && message->permit)
-                    receivePermit(*message->permit);
-                else if (message)
-                    handleHeartbeat(*message);
+                if (message)
+                    handle(*message);
                 else
                     log(LogLevel::Warning, "heartbeat-malformed", {{"from", m_sender.address().to_string()}});
             }
@@ -72,6 +68,22 @@
         });
 }
 
+void UdpGossip::handle(const GossipMessage &message)
+{
+    if (message.permitRequest)
+        issuePermit(message, now());
+    else if (message.permit)
+        m_pendingPermits.receive(*message.permit);
+    else if (message.streamNotice)
+        m_state.streamOrigins.record(message.streamNotice->stream, message.streamNotice->origin, now());
+    else if (message.originRequest)
+        answerOrigin(message, now());
+    else if (message.origin)
+        m_pendingOrigins.receive(*message.origin);
+    else
+        handleHeartbeat(message);
+}
+
 void UdpGossip::issuePermit(const GossipMessage &message, Instant time)
 {
     /// Time until an instance that is not the issuer may be asked again, since views of the membership agree
@@ -91,33 +103,53 @@
     send(std::move(reply), message.self.peerAddress, time);
 }
 
-void UdpGossip::receivePermit(const PermitMessage<Permit> &reply)
+std::optional<Permit> UdpGossip::requestPermit(const std::string &address, const PermitRequest &request,
+                                               const Fiber &fiber)
 {
-    for (PendingPermit &pending : m_pendingPermits) {
-        if (pending.id != reply.id)
-            continue;
-        pending.reply = reply.content;
-        pending.timer.cancel();
-    }
+    const auto ask = [&](std::uint64_t id) {
+        GossipMessage message;
+        message.self = m_handlers.self();
+        message.permitRequest = {id, request};
+        send(std::move(message), address, now());
+        return std::size_t{1};
+    };
+    return m_pendingPermits.request(
+        PermitTimeout, ask, [](const Permit &) { return true; }, fiber);
 }
 
-std::optional<Permit> UdpGossip::requestPermit(const std::string &address, const PermitRequest &request,
-                                               const Fiber &fiber)
+void UdpGossip::tellOrigin(std::uint64_t stream, const StreamOrigin &origin)
 {
-    const Instant start = now();
-    const auto pending = m_pendingPermits.insert(
-        m_pendingPermits.end(),
-        {++m_lastPermitId, std::nullopt, boost::asio::steady_timer(fiber.get_executor(), PermitTimeout)});
+    const Instant time = now();
     GossipMessage message;
     message.self = m_handlers.self();
-    message.permitRequest = {pending->id, request};
-    send(std::move(message), address, start);
-    boost::system::error_code ignored;
-    pending->timer.async_wait(fiber[ignored]);
-    const auto reply = pending->reply;
-    m_pendingPermits.erase(pending);
-    // A process that was stopped meanwhile must not use a permit that was meant for an earlier time.
-    return now() - start <= PermitTimeout ? reply : std::nullopt;
+    message.streamNotice = {stream, origin};
+    for (const std::string &address : m_state.membership.rankedPeers(stream, StreamOrigins::ToldPeers, time))
+        send(message, address, time);
+}
+
+void UdpGossip::answerOrigin(const GossipMessage &message, Instant time)
+{
+    GossipMessage reply;
+    reply.self = m_handlers.self();
+    reply.origin = {message.originRequest->id,
+                    m_state.streamOrigins.find(message.originRequest->content, time)};
+    send(std::move(reply), message.self.peerAddress, time);
+}
+
+std::optional<StreamOrigin> UdpGossip::requestOrigin(std::uint64_t stream, const Fiber &fiber)
+{
+    const auto ask = [&](std::uint64_t id) {
+        const Instant time = now();
+        GossipMessage message;
+        message.self = m_handlers.self();
+        message.originRequest = {id, stream};
+        const auto addresses = m_state.membership.rankedPeers(stream, StreamOrigins::AskedPeers, time);
+        for (const std::string &address : addresses)
+            send(message, address, time);
+        return addresses.size();
+    };
+    const auto isKnown = [](const std::optional<StreamOrigin> &origin) { return origin.has_value(); };
+    return m_pendingOrigins.request(OriginTimeout, ask, isKnown, fiber).value_or(std::nullopt);
 }
 
 void UdpGossip::handleHeartbeat(const GossipMessage &message)
--- a/src/daemon/udpgossip.h
+++ b/src/daemon/udpgossip.h
@@ -3,13 +3,12 @@
 #include "chestnutsill/net/fiber.h"
 #include "chestnutsill/peer/gossipmessage.h"
 #include "chestnutsill/router/router.h"
+#include "daemon/pendingreplies.h"
 
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <functional>
-#include <list>
 #include <map>
 #include <optional>
 #include <span>
@@ -56,6 +55,12 @@
     [[nodiscard]] std::optional<Permit> requestPermit(const std::string &address,
                                                       const PermitRequest &request, const Fiber &fiber);
 
+    /// Tells the origin of a stream to the peers that keep it; see `StreamOrigins`.
+    void tellOrigin(std::uint64_t stream, const StreamOrigin &origin);
+
+    /// Asks peers for the origin of a stream. Returns nothing if none of them knows it for certain.
+    [[nodiscard]] std::optional<StreamOrigin> requestOrigin(std::uint64_t stream, const Fiber &fiber);
+
 private:
     /// The last heartbeat received from a peer, echoed to it in the next heartbeat.
     struct LastHeartbeat
@@ -67,17 +72,10 @@
         Instant arrivedAt{};
     };
 
-    /// A request for a permit without a reply yet.
-    struct PendingPermit
-    {
-        std::uint64_t id = 0;
-        std::optional<Permit> reply;
-        boost::asio::steady_timer timer;
-    };
-
     void receive();
+    void handle(const GossipMessage &message);
     void issuePermit(const GossipMessage &message, Instant time);
-    void receivePermit(const PermitMessage<Permit> &reply);
+    void answerOrigin(const GossipMessage &message, Instant time);
     void handleHeartbeat(const GossipMessage &message);
     void replyTo(const GossipMessage &message, Instant time);
     void recordSilentUpstreams(std::span<const std::uint64_t> upstreams, Instant time);
@@ -106,8 +104,8 @@
     /// Last heartbeats by peer address.
     std::map<std::string, LastHeartbeat> m_lastHeartbeats;
     std::uint64_t m_round = 0;
-    std::list<PendingPermit> m_pendingPermits;
-    std::uint64_t m_lastPermitId;
+    PendingReplies<Permit> m_pendingPermits;
+    PendingReplies<std::optional<StreamOrigin>> m_pendingOrigins;
     /// Whether this instance was the hub of its availability zone in the last round. A hub forwards
     /// what it receives about prefix caches and crashes.
     bool m_isHub = false;
--- a/src/peer/fleet.capnp
+++ b/src/peer/fleet.capnp
@@ -92,6 +92,32 @@
   delayMs @2 :UInt32;
 }
 
+# Where a stream was begun, and so may go on.
+struct StreamOrigin {
+  service @0 :Text;
+  softwareVersion @1 :Text;
+}
+
+# Tells the origin of a stream that has begun.
+struct StreamNews {
+  # Hash of the client account and the attempt id.
+  stream @0 :UInt64;
+  origin @1 :StreamOrigin;
+}
+
+# Request for the origin of a stream.
+struct OriginAsk {
+  # Identifies the request in the reply.
+  id @0 :UInt64;
+  stream @1 :UInt64;
+}
+
+struct OriginReply {
+  id @0 :UInt64;
+  # Not set if the origin is not known for certain.
+  origin @1 :StreamOrigin;
+}
+
 struct Echo {
   # Incarnation of the instance whose heartbeat is echoed.
   incarnation @0 :UInt64;
@@ -139,4 +165,8 @@
   permitReply @20 :PermitReply;
   # Era of the store to which the revision belongs.
   era @21 :UInt64;
+  # A message with one of these is not a heartbeat either.
+  streamNews @22 :StreamNews;
+  originAsk @23 :OriginAsk;
+  originReply @24 :OriginReply;
 }
--- a/src/peer/gossipmessage.cpp
+++ b/src/peer/gossipmessage.cpp
@@ -104,7 +104,7 @@
     return notice;
 }
 
-void write(wire::PermitAsk::Builder out, const PermitMessage<PermitRequest> &ask)
+void write(wire::PermitAsk::Builder out, const PeerQuery<PermitRequest> &ask)
 {
     out.setId(ask.id);
     out.setUpstream(ask.content.upstream);
@@ -113,24 +113,59 @@
     out.setRank(clampTo<std::uint8_t>(ask.content.rank));
 }
 
-PermitMessage<PermitRequest> read(wire::PermitAsk::Reader in)
+PeerQuery<PermitRequest> read(wire::PermitAsk::Reader in)
 {
     return {in.getId(),
             {in.getUpstream(), in.getPerSecond(), milliseconds(in.getMaxDelayMs()), in.getRank()}};
 }
 
-void write(wire::PermitReply::Builder out, const PermitMessage<Permit> &reply)
+void write(wire::PermitReply::Builder out, const PeerQuery<Permit> &reply)
 {
     out.setId(reply.id);
     out.setGranted(reply.content.granted);
     out.setDelayMs(clampTo<std::uint32_t>(reply.content.delay.count()));
 }
 
-PermitMessage<Permit> read(wire::PermitReply::Reader in)
+PeerQuery<Permit> read(wire::PermitReply::Reader in)
 {
     return {in.getId(), {in.getGranted(), milliseconds(in.getDelayMs())}};
 }
 
+void write(wire::StreamOrigin::Builder out, const StreamOrigin &origin)
+{
+    out.setService(origin.service.c_str());
+    out.setSoftwareVersion(origin.softwareVersion.c_str());
+}
+
+StreamOrigin read(wire::StreamOrigin::Reader in)
+{
+    return {toText(in.getService()), toText(in.getSoftwareVersion())};
+}
+
+void write(wire::StreamNews::Builder out, const StreamNotice &notice)
+{
+    out.setStream(notice.stream);
+    write(out.initOrigin(), notice.origin);
+}
+
+void write(wire::OriginAsk::Builder out, const PeerQuery<std::uint64_t> &ask)
+{
+    out.setId(ask.id);
+    out.setStream(ask.content);
+}
+
+void write(wire::OriginReply::Builder out, const PeerQuery<std::optional<StreamOrigin>> &reply)
+{
+    out.setId(reply.id);
+    if (reply.content)
+        write(out.initOrigin(), *reply.content);
+}
+
+PeerQuery<std::optional<StreamOrigin>> read(wire::OriginReply::Reader in)
+{
+    return {in.getId(), in.hasOrigin() ? std::optional(read(in.getOrigin())) : std::nullopt};
+}
+
 void writeLoads(wire::FleetBeat::Builder root, const std::vector<UpstreamLoad> &upstreamLoads)
 {
     auto loads = root.initLoads(static_cast<unsigned>(upstreamLoads.size()));
@@ -227,6 +262,12 @@
         write(root.initPermitAsk(), *gossip.permitRequest);
     if (gossip.permit)
         write(root.initPermitReply(), *gossip.permit);
+    if (gossip.streamNotice)
+        write(root.initStreamNews(), *gossip.streamNotice);
+    if (gossip.originRequest)
+        write(root.initOriginAsk(), *gossip.originRequest);
+    if (gossip.origin)
+        write(root.initOriginReply(), *gossip.origin);
     return impl::toBytes(message);
 }
 
@@ -275,6 +316,13 @@
             gossip.permitRequest = read(root.getPermitAsk());
         if (root.hasPermitReply())
             gossip.permit = read(root.getPermitReply());
+        if (root.hasStreamNews() && root.getStreamNews().hasOrigin())
+            gossip.streamNotice =
+                StreamNotice{root.getStreamNews().getStream(), read(root.getStreamNews().getOrigin())};
+        if (root.hasOriginAsk())
+            gossip.originRequest = {root.getOriginAsk().getId(), root.getOriginAsk().getStream()};
+        if (root.hasOriginReply())
+            gossip.origin = read(root.getOriginReply());
     });
     if (!isValid || gossip.self.name.empty())
         return std::nullopt;
--- a/src/peer/impl/fleet.capnp.h
+++ b/src/peer/impl/fleet.capnp.h
@@ -26,6 +26,10 @@
 CAPNP_DECLARE_SCHEMA(86161c7896635863);
 CAPNP_DECLARE_SCHEMA(b788abb33eef50b4);
 CAPNP_DECLARE_SCHEMA(9b8d860bc5bd7827);
+CAPNP_DECLARE_SCHEMA(9a6b05ffe4cdbb34);
+CAPNP_DECLARE_SCHEMA(ada9cf4a7e35a1f5);
+CAPNP_DECLARE_SCHEMA(b997683939db428f);
+CAPNP_DECLARE_SCHEMA(a492856d332fc45c);
 CAPNP_DECLARE_SCHEMA(e92942e2dd89a25b);
 CAPNP_DECLARE_SCHEMA(81ae289e0deadabe);
 
@@ -185,6 +189,66 @@
   };
 };
 
+struct StreamOrigin {
+  StreamOrigin() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9a6b05ffe4cdbb34, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamNews {
+  StreamNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ada9cf4a7e35a1f5, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OriginAsk {
+  OriginAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b997683939db428f, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OriginReply {
+  OriginReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a492856d332fc45c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Echo {
   Echo() = delete;
 
@@ -208,7 +272,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 6, 15)
+    CAPNP_DECLARE_STRUCT_HEADER(81ae289e0deadabe, 6, 18)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -808,9 +872,368 @@
 
   inline  ::uint64_t getPart() const;
 
-  inline  ::uint16_t getStrikes() const;
+  inline  ::uint16_t getStrikes() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartBan::Builder {
+public:
+  typedef PartBan Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint16_t getStrikes();
+  inline void setStrikes( ::uint16_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartBan::Pipeline {
+public:
+  typedef PartBan Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RateNews::Reader {
+public:
+  typedef RateNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getNamedAgeMs() const;
+
+  inline  ::int32_t getEndedAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateNews::Builder {
+public:
+  typedef RateNews Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getNamedAgeMs();
+  inline void setNamedAgeMs( ::uint32_t value);
+
+  inline  ::int32_t getEndedAgeMs();
+  inline void setEndedAgeMs( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateNews::Pipeline {
+public:
+  typedef RateNews Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitAsk::Reader {
+public:
+  typedef PermitAsk Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint64_t getUpstream() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getMaxDelayMs() const;
+
+  inline  ::uint8_t getRank() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitAsk::Builder {
+public:
+  typedef PermitAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getMaxDelayMs();
+  inline void setMaxDelayMs( ::uint32_t value);
+
+  inline  ::uint8_t getRank();
+  inline void setRank( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitAsk::Pipeline {
+public:
+  typedef PermitAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitReply::Reader {
+public:
+  typedef PermitReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline bool getGranted() const;
+
+  inline  ::uint32_t getDelayMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitReply::Builder {
+public:
+  typedef PermitReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+  inline  ::uint32_t getDelayMs();
+  inline void setDelayMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitReply::Pipeline {
+public:
+  typedef PermitReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamOrigin::Reader {
+public:
+  typedef StreamOrigin Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint32_t getAgeMs() const;
+  inline bool hasSoftwareVersion() const;
+  inline  ::capnp::Text::Reader getSoftwareVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -824,9 +1247,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PartBan::Builder {
+class StreamOrigin::Builder {
 public:
-  typedef PartBan Builds;
+  typedef StreamOrigin Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -840,14 +1263,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPart();
-  inline void setPart( ::uint64_t value);
-
-  inline  ::uint16_t getStrikes();
-  inline void setStrikes( ::uint16_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint32_t getAgeMs();
-  inline void setAgeMs( ::uint32_t value);
+  inline bool hasSoftwareVersion();
+  inline  ::capnp::Text::Builder getSoftwareVersion();
+  inline void setSoftwareVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
+  inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -859,9 +1287,9 @@
 };
 
 #if !CAPNP_LITE
-class PartBan::Pipeline {
+class StreamOrigin::Pipeline {
 public:
-  typedef PartBan Pipelines;
+  typedef StreamOrigin Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -875,9 +1303,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RateNews::Reader {
+class StreamNews::Reader {
 public:
-  typedef RateNews Reads;
+  typedef StreamNews Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -892,13 +1320,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getUpstream() const;
-
-  inline double getPerSecond() const;
-
-  inline  ::uint32_t getNamedAgeMs() const;
+  inline  ::uint64_t getStream() const;
 
-  inline  ::int32_t getEndedAgeMs() const;
+  inline bool hasOrigin() const;
+  inline  ::chestnutsill::wire::StreamOrigin::Reader getOrigin() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -912,9 +1337,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RateNews::Builder {
+class StreamNews::Builder {
 public:
-  typedef RateNews Builds;
+  typedef StreamNews Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -928,17 +1353,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getUpstream();
-  inline void setUpstream( ::uint64_t value);
-
-  inline double getPerSecond();
-  inline void setPerSecond(double value);
-
-  inline  ::uint32_t getNamedAgeMs();
-  inline void setNamedAgeMs( ::uint32_t value);
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
 
-  inline  ::int32_t getEndedAgeMs();
-  inline void setEndedAgeMs( ::int32_t value);
+  inline bool hasOrigin();
+  inline  ::chestnutsill::wire::StreamOrigin::Builder getOrigin();
+  inline void setOrigin( ::chestnutsill::wire::StreamOrigin::Reader value);
+  inline  ::chestnutsill::wire::StreamOrigin::Builder initOrigin();
+  inline void adoptOrigin(::capnp::Orphan< ::chestnutsill::wire::StreamOrigin>&& value);
+  inline ::capnp::Orphan< ::chestnutsill::wire::StreamOrigin> disownOrigin();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -950,14 +1373,15 @@
 };
 
 #if !CAPNP_LITE
-class RateNews::Pipeline {
+class StreamNews::Pipeline {
 public:
-  typedef RateNews Pipelines;
+  typedef StreamNews Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::chestnutsill::wire::StreamOrigin::Pipeline getOrigin();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -966,9 +1390,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PermitAsk::Reader {
+class OriginAsk::Reader {
 public:
-  typedef PermitAsk Reads;
+  typedef OriginAsk Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -985,13 +1409,7 @@
 
   inline  ::uint64_t getId() const;
 
-  inline  ::uint64_t getUpstream() const;
-
-  inline double getPerSecond() const;
-
-  inline  ::uint32_t getMaxDelayMs() const;
-
-  inline  ::uint8_t getRank() const;
+  inline  ::uint64_t getStream() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1005,9 +1423,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PermitAsk::Builder {
+class OriginAsk::Builder {
 public:
-  typedef PermitAsk Builds;
+  typedef OriginAsk Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1024,17 +1442,8 @@
   inline  ::uint64_t getId();
   inline void setId( ::uint64_t value);
 
-  inline  ::uint64_t getUpstream();
-  inline void setUpstream( ::uint64_t value);
-
-  inline double getPerSecond();
-  inline void setPerSecond(double value);
-
-  inline  ::uint32_t getMaxDelayMs();
-  inline void setMaxDelayMs( ::uint32_t value);
-
-  inline  ::uint8_t getRank();
-  inline void setRank( ::uint8_t value);
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1046,9 +1455,9 @@
 };
 
 #if !CAPNP_LITE
-class PermitAsk::Pipeline {
+class OriginAsk::Pipeline {
 public:
-  typedef PermitAsk Pipelines;
+  typedef OriginAsk Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1062,9 +1471,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PermitReply::Reader {
+class OriginReply::Reader {
 public:
-  typedef PermitReply Reads;
+  typedef OriginReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1081,9 +1490,8 @@
 
   inline  ::uint64_t getId() const;
 
-  inline bool getGranted() const;
-
-  inline  ::uint32_t getDelayMs() const;
+  inline bool hasOrigin() const;
+  inline  ::chestnutsill::wire::StreamOrigin::Reader getOrigin() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1097,9 +1505,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PermitReply::Builder {
+class OriginReply::Builder {
 public:
-  typedef PermitReply Builds;
+  typedef OriginReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1116,11 +1524,12 @@
   inline  ::uint64_t getId();
   inline void setId( ::uint64_t value);
 
-  inline bool getGranted();
-  inline void setGranted(bool value);
-
-  inline  ::uint32_t getDelayMs();
-  inline void setDelayMs( ::uint32_t value);
+  inline bool hasOrigin();
+  inline  ::chestnutsill::wire::StreamOrigin::Builder getOrigin();
+  inline void setOrigin( ::chestnutsill::wire::StreamOrigin::Reader value);
+  inline  ::chestnutsill::wire::StreamOrigin::Builder initOrigin();
+  inline void adoptOrigin(::capnp::Orphan< ::chestnutsill::wire::StreamOrigin>&& value);
+  inline ::capnp::Orphan< ::chestnutsill::wire::StreamOrigin> disownOrigin();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1132,14 +1541,15 @@
 };
 
 #if !CAPNP_LITE
-class PermitReply::Pipeline {
+class OriginReply::Pipeline {
 public:
-  typedef PermitReply Pipelines;
+  typedef OriginReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::chestnutsill::wire::StreamOrigin::Pipeline getOrigin();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1310,6 +1720,15 @@
 
   inline  ::uint64_t getEra() const;
 
+  inline bool hasStreamNews() const;
+  inline  ::chestnutsill::wire::StreamNews::Reader getStreamNews() const;
+
+  inline bool hasOriginAsk() const;
+  inline  ::chestnutsill::wire::OriginAsk::Reader getOriginAsk() const;
+
+  inline bool hasOriginReply() const;
+  inline  ::chestnutsill::wire::OriginReply::Reader getOriginReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1469,6 +1888,27 @@
   inline  ::uint64_t getEra();
   inline void setEra( ::uint64_t value);
 
+  inline bool hasStreamNews();
+  inline  ::chestnutsill::wire::StreamNews::Builder getStreamNews();
+  inline void setStreamNews( ::chestnutsill::wire::StreamNews::Reader value);
+  inline  ::chestnutsill::wire::StreamNews::Builder initStreamNews();
+  inline void adoptStreamNews(::capnp::Orphan< ::chestnutsill::wire::StreamNews>&& value);
+  inline ::capnp::Orphan< ::chestnutsill::wire::StreamNews> disownStreamNews();
+
+  inline bool hasOriginAsk();
+  inline  ::chestnutsill::wire::OriginAsk::Builder getOriginAsk();
+  inline void setOriginAsk( ::chestnutsill::wire::OriginAsk::Reader value);
+  inline  ::chestnutsill::wire::OriginAsk::Builder initOriginAsk();
+  inline void adoptOriginAsk(::capnp::Orphan< ::chestnutsill::wire::OriginAsk>&& value);
+  inline ::capnp::Orphan< ::chestnutsill::wire::OriginAsk> disownOriginAsk();
+
+  inline bool hasOriginReply();
+  inline  ::chestnutsill::wire::OriginReply::Builder getOriginReply();
+  inline void setOriginReply( ::chestnutsill::wire::OriginReply::Reader value);
+  inline  ::chestnutsill::wire::OriginReply::Builder initOriginReply();
+  inline void adoptOriginReply(::capnp::Orphan< ::chestnutsill::wire::OriginReply>&& value);
+  inline ::capnp::Orphan< ::chestnutsill::wire::OriginReply> disownOriginReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1490,6 +1930,9 @@
   inline  ::chestnutsill::wire::InstanceNews::Pipeline getSelf();
   inline  ::chestnutsill::wire::PermitAsk::Pipeline getPermitAsk();
   inline  ::chestnutsill::wire::PermitReply::Pipeline getPermitReply();
+  inline  ::chestnutsill::wire::StreamNews::Pipeline getStreamNews();
+  inline  ::chestnutsill::wire::OriginAsk::Pipeline getOriginAsk();
+  inline  ::chestnutsill::wire::OriginReply::Pipeline getOriginReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2162,6 +2605,208 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StreamOrigin::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOrigin::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOrigin::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamOrigin::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamOrigin::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOrigin::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamOrigin::Reader::hasSoftwareVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOrigin::Builder::hasSoftwareVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOrigin::Reader::getSoftwareVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::getSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamOrigin::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::initSoftwareVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamOrigin::Builder::adoptSoftwareVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOrigin::Builder::disownSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StreamNews::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamNews::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamNews::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamNews::Reader::hasOrigin() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamNews::Builder::hasOrigin() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chestnutsill::wire::StreamOrigin::Reader StreamNews::Reader::getOrigin() const {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::chestnutsill::wire::StreamOrigin::Builder StreamNews::Builder::getOrigin() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chestnutsill::wire::StreamOrigin::Pipeline StreamNews::Pipeline::getOrigin() {
+  return  ::chestnutsill::wire::StreamOrigin::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void StreamNews::Builder::setOrigin( ::chestnutsill::wire::StreamOrigin::Reader value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::chestnutsill::wire::StreamOrigin::Builder StreamNews::Builder::initOrigin() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamNews::Builder::adoptOrigin(
+    ::capnp::Orphan< ::chestnutsill::wire::StreamOrigin>&& value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chestnutsill::wire::StreamOrigin> StreamNews::Builder::disownOrigin() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t OriginAsk::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OriginAsk::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OriginAsk::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t OriginAsk::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OriginAsk::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void OriginAsk::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t OriginReply::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OriginReply::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OriginReply::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OriginReply::Reader::hasOrigin() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OriginReply::Builder::hasOrigin() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chestnutsill::wire::StreamOrigin::Reader OriginReply::Reader::getOrigin() const {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::chestnutsill::wire::StreamOrigin::Builder OriginReply::Builder::getOrigin() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chestnutsill::wire::StreamOrigin::Pipeline OriginReply::Pipeline::getOrigin() {
+  return  ::chestnutsill::wire::StreamOrigin::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void OriginReply::Builder::setOrigin( ::chestnutsill::wire::StreamOrigin::Reader value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::chestnutsill::wire::StreamOrigin::Builder OriginReply::Builder::initOrigin() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OriginReply::Builder::adoptOrigin(
+    ::capnp::Orphan< ::chestnutsill::wire::StreamOrigin>&& value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chestnutsill::wire::StreamOrigin> OriginReply::Builder::disownOrigin() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamOrigin>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Echo::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2847,6 +3492,123 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetBeat::Reader::hasStreamNews() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasStreamNews() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chestnutsill::wire::StreamNews::Reader FleetBeat::Reader::getStreamNews() const {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamNews>::get(_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline  ::chestnutsill::wire::StreamNews::Builder FleetBeat::Builder::getStreamNews() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamNews>::get(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chestnutsill::wire::StreamNews::Pipeline FleetBeat::Pipeline::getStreamNews() {
+  return  ::chestnutsill::wire::StreamNews::Pipeline(_typeless.getPointerField(15));
+}
+#endif  // !CAPNP_LITE
+inline void FleetBeat::Builder::setStreamNews( ::chestnutsill::wire::StreamNews::Reader value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamNews>::set(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline  ::chestnutsill::wire::StreamNews::Builder FleetBeat::Builder::initStreamNews() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamNews>::init(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::adoptStreamNews(
+    ::capnp::Orphan< ::chestnutsill::wire::StreamNews>&& value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamNews>::adopt(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chestnutsill::wire::StreamNews> FleetBeat::Builder::disownStreamNews() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::StreamNews>::disown(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+
+inline bool FleetBeat::Reader::hasOriginAsk() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasOriginAsk() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chestnutsill::wire::OriginAsk::Reader FleetBeat::Reader::getOriginAsk() const {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::chestnutsill::wire::OriginAsk::Builder FleetBeat::Builder::getOriginAsk() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chestnutsill::wire::OriginAsk::Pipeline FleetBeat::Pipeline::getOriginAsk() {
+  return  ::chestnutsill::wire::OriginAsk::Pipeline(_typeless.getPointerField(16));
+}
+#endif  // !CAPNP_LITE
+inline void FleetBeat::Builder::setOriginAsk( ::chestnutsill::wire::OriginAsk::Reader value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline  ::chestnutsill::wire::OriginAsk::Builder FleetBeat::Builder::initOriginAsk() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::adoptOriginAsk(
+    ::capnp::Orphan< ::chestnutsill::wire::OriginAsk>&& value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chestnutsill::wire::OriginAsk> FleetBeat::Builder::disownOriginAsk() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+
+inline bool FleetBeat::Reader::hasOriginReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetBeat::Builder::hasOriginReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chestnutsill::wire::OriginReply::Reader FleetBeat::Reader::getOriginReply() const {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginReply>::get(_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline  ::chestnutsill::wire::OriginReply::Builder FleetBeat::Builder::getOriginReply() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginReply>::get(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chestnutsill::wire::OriginReply::Pipeline FleetBeat::Pipeline::getOriginReply() {
+  return  ::chestnutsill::wire::OriginReply::Pipeline(_typeless.getPointerField(17));
+}
+#endif  // !CAPNP_LITE
+inline void FleetBeat::Builder::setOriginReply( ::chestnutsill::wire::OriginReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginReply>::set(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), value);
+}
+inline  ::chestnutsill::wire::OriginReply::Builder FleetBeat::Builder::initOriginReply() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginReply>::init(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline void FleetBeat::Builder::adoptOriginReply(
+    ::capnp::Orphan< ::chestnutsill::wire::OriginReply>&& value) {
+  ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chestnutsill::wire::OriginReply> FleetBeat::Builder::disownOriginReply() {
+  return ::capnp::_::PointerHelpers< ::chestnutsill::wire::OriginReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -135,6 +135,24 @@
     return first == nullptr ? std::nullopt : std::optional(first->status);
 }
 
+std::vector<std::string> Membership::rankedPeers(std::uint64_t key, std::size_t count, Instant now) const
+{
+    std::vector<std::pair<std::uint64_t, const KnownInstance *>> ranked;
+    ranked.reserve(m_instances.size());
+    for (const auto &[name, known] : m_instances) {
+        if (isAlive(known, now))
+            ranked.emplace_back(stableHash(name, key), &known);
+    }
+    const std::size_t size = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(size), ranked.end(),
+                      std::greater<>());
+    std::vector<std::string> addresses;
+    addresses.reserve(size);
+    for (std::size_t i = 0; i < size; ++i)
+        addresses.push_back(ranked[i].second->status.peerAddress);
+    return addresses;
+}
+
 void Membership::checkActive(Instant now)
 {
     std::vector<std::string> active;
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -297,24 +297,6 @@
         context.callerGone = true;
 }
 
-bool Router::beginEvents(RequestContext &context, const UpstreamAttempt &attempt)
-{
-    context.eventVersions.push_back(attempt.softwareVersion);
-    if (!context.route->resumable)
-        return true;
-    const UpstreamRecord *record = m_state.catalog.find(attempt.upstream);
-    // An upstream whose entry has been removed finishes what it runs.
-    const bool isSame = record == nullptr
-                        || (record->entry.startUnixMs == attempt.startUnixMs
-                            && m_state.catalog.runsVersion(*record, attempt.softwareVersion, now()));
-    const bool isCertain = attempt.versionIsCertain && isSame;
-    if (context.streamVersion)
-        return isCertain;
-    if (isCertain)
-        context.streamVersion = attempt.softwareVersion;
-    return true;
-}
-
 void Router::relayEventStream(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
                               const Fiber &fiber)
 {
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -88,7 +88,7 @@
 milliseconds maxPermitWait(const RequestContext &context, Instant time)
 {
     const auto left = std::chrono::duration_cast<milliseconds>(context.deadline - time);
-    if (context.responseStarted)
+    if (continuesStream(context))
         return std::clamp(left / PermitWaitDivisor, milliseconds(0), MaxResumeWait);
     const milliseconds target = context.route->target;
     const milliseconds longest = target > milliseconds(0) ? target / PermitWaitDivisor : DefaultPermitWait;
@@ -100,11 +100,13 @@
 std::vector<UpstreamCandidate> Router::collectCandidates(const RequestContext &context, Instant time) const
 {
     const milliseconds permitWait = maxPermitWait(context, time);
-    auto candidates = collectCandidates(context, time, {.includeSuspected = false, .permitWait = {}});
+    auto candidates = collectCandidates(context, time, {});
     if (candidates.empty() && !m_state.rateLimits.empty())
-        candidates = collectCandidates(context, time, {.includeSuspected = false, .permitWait = permitWait});
+        candidates = collectCandidates(context, time, {.permitWait = permitWait});
     if (candidates.empty())
-        candidates = collectCandidates(context, time, {.includeSuspected = true, .permitWait = permitWait});
+        candidates = collectCandidates(
+            context, time,
+            {.includeSuspected = true, .includeEjected = continuesStream(context), .permitWait = permitWait});
     return candidates;
 }
 
@@ -115,8 +117,8 @@
     std::vector<std::string> instances;
     for (const UpstreamRecord *record : m_state.catalog.usableUpstreams(context.serviceName)) {
         const std::string &id = record->entry.id;
-        if (contains(context.triedUpstreams, id) || m_state.outlierDetector.isEjected(id, time)
-            || m_state.silenceDetector.isSilent(id)
+        if (contains(context.triedUpstreams, id) || m_state.silenceDetector.isSilent(id)
+            || (!filter.includeEjected && m_state.outlierDetector.isEjected(id, time))
             || (!filter.includeSuspected && m_state.silenceDetector.isSuspected(id)))
             continue;
         if (context.streamVersion && !m_state.catalog.runsVersion(*record, *context.streamVersion, time))
@@ -154,7 +156,7 @@
 {
     // A stream that has begun is continued as long as its deadline allows.
     if (attempt.expectedFirstTokenMs <= 0 || context.route->kind != RouteKind::Streaming
-        || context.responseStarted)
+        || continuesStream(context))
         return false;
     const double draw = drawOf(context);
     const auto expected = std::chrono::duration_cast<Instant>(
@@ -218,7 +220,7 @@
 {
     // A stream that has begun goes first: without another upstream it is lost.
     const int rank =
-        context.responseStarted ? 0 : engineRank(*context.table, *context.route, context.account);
+        continuesStream(context) ? 0 : engineRank(*context.table, *context.route, context.account);
     context.deniedUpstreams.clear();
     for (;;) {
         if (auto refused = chooseUpstream(context, attempt))
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -102,8 +102,8 @@
     bool responseEnded = false;
     int status = 0;
     Instant firstByteAt{};
-    /// The only software version at which the stream may go on; empty before its first event, and if the
-    /// version that began it is not known for certain.
+    /// The only software version at which the stream may go on; empty before the first event of a stream that
+    /// the request does not take up, and if the version that began it is not known for certain.
     std::optional<std::string> streamVersion;
     /// Software versions of the upstreams whose events were forwarded, one for each attempt.
     std::vector<std::string> eventVersions;
@@ -112,4 +112,26 @@
     EventSplitter eventSplitter;
 };
 
+/// Sets the service whose upstreams serve the request.
+inline void setService(RequestContext &context, std::string_view name)
+{
+    context.serviceName = name;
+    const auto service = context.table->services.find(name);
+    context.service = service == context.table->services.end() ? nullptr : &service->second;
+}
+
+/// Whether the caller takes up a stream of which it has events.
+[[nodiscard]] inline bool takesUpStream(const RequestContext &context)
+{
+    return context.route->kind == RouteKind::Streaming
+           && (!context.request.resumedAttemptId.empty() || !context.request.lastEventId.empty());
+}
+
+/// Whether the caller has events of the stream, from this answer or an earlier one, so that it is lost unless
+/// it goes on.
+[[nodiscard]] inline bool continuesStream(const RequestContext &context)
+{
+    return context.responseStarted || takesUpStream(context);
+}
+
 } // namespace chestnutsill
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -87,6 +87,8 @@
     auto answer = resolveRoute(context);
     if (!answer)
         answer = authorize(context);
+    if (!answer)
+        answer = resolveOrigin(context, fiber);
     if (!answer)
         answer = run(context, fiber);
     if (answer && !context.callerGone) {
@@ -130,9 +132,7 @@
     }
     const milliseconds callerTimeout = context.request.callerTimeout.value_or(context.route->timeout);
     context.deadline = context.arrivedAt + std::min(callerTimeout, context.route->timeout);
-    context.serviceName = selectService(*context.route, stableHash(context.request.attemptId));
-    const auto service = context.table->services.find(context.serviceName);
-    context.service = service == context.table->services.end() ? nullptr : &service->second;
+    setService(context, selectService(*context.route, stableHash(context.request.attemptId)));
     return std::nullopt;
 }
 
@@ -276,6 +276,7 @@
          {"upstream", context.triedUpstreams.empty() ? std::string() : context.triedUpstreams.back()},
          {"attempts", static_cast<std::int64_t>(context.triedUpstreams.size())},
          {"eventVersions", joined(context.eventVersions)},
+         {"streamVersion", context.streamVersion.value_or(std::string())},
          {"resumes", context.request.resumedAttemptId},
          {"lastEventId", context.request.lastEventId},
          {"upstreamFraming", std::string(context.upstreamFraming)},
--- a/tests/entry/softwareversiontest.cpp
+++ b/tests/entry/softwareversiontest.cpp
@@ -107,24 +107,35 @@
     /// Begins streams at an instance, and calls `interrupt` once all of them have begun.
     std::vector<ReceivedStream> beginAndInterrupt(std::size_t instance,
                                                   const std::function<void()> &interrupt)
+    {
+        std::vector<ReceivedStream> streams;
+        for (int i = 0; i < StreamCount; ++i)
+            streams.push_back({"stream-" + std::to_string(++m_streams), 0, {}, 0, false});
+        return continueAndInterrupt(std::move(streams), instance, interrupt);
+    }
+
+    /// Begins streams, or takes those up that have events, and calls `interrupt` once all go on.
+    std::vector<ReceivedStream> continueAndInterrupt(std::vector<ReceivedStream> broken, std::size_t instance,
+                                                     const std::function<void()> &interrupt)
     {
         std::atomic<int> begun = 0;
         std::vector<std::future<ReceivedStream>> answers;
-        for (int i = 0; i < StreamCount; ++i) {
-            const std::string id = "stream-" + std::to_string(++m_streams);
-            answers.push_back(std::async(std::launch::async, [this, instance, id, &begun] {
+        for (const ReceivedStream &before : broken) {
+            answers.push_back(std::async(std::launch::async, [this, instance, before, &begun] {
                 bool counted = false;
-                ReceivedStream stream{id, 0, {}, 0, false};
-                addEvents(stream, requestStream(m_site, instance, id, nullptr, [&](const std::string &bytes) {
-                              if (!counted && eventsIn(bytes) > 0) {
-                                  counted = true;
-                                  ++begun;
-                              }
-                          }));
+                const bool isNew = before.lastEvent == 0;
+                ReceivedStream stream = before;
+                addEvents(stream, requestStream(m_site, instance, before.attemptId + (isNew ? "" : "-second"),
+                                                isNew ? nullptr : &before, [&](const std::string &bytes) {
+                                                    if (!counted && eventsIn(bytes) > 0) {
+                                                        counted = true;
+                                                        ++begun;
+                                                    }
+                                                }));
                 return stream;
             }));
         }
-        CHECK(waitUntil([&] { return begun == StreamCount; }));
+        CHECK(waitUntil([&] { return begun == static_cast<int>(broken.size()); }));
         interrupt();
         std::vector<ReceivedStream> streams;
         for (auto &answer : answers)
@@ -243,6 +254,62 @@
     checkOneKilled("versions-killed-large", LargeCount);
 }
 
+TEST_CASE("software versions: streams that callers take up a second time go on at their version")
+{
+    VersionedSite versions("versions-twice", 3, 3, 3);
+    versions.command(SlowStreams);
+    Site &site = versions.site();
+    auto streams = versions.beginAndInterrupt(0, [&] { site.instances()[0].process->kill(); });
+    streams =
+        versions.continueAndInterrupt(std::move(streams), 1, [&] { site.instances()[1].process->kill(); });
+    versions.command(FastStreams);
+    CHECK(2 * versions.takeUp(streams, 2) >= StreamCount);
+}
+
+TEST_CASE(
+    "software versions: a stream that is taken up goes on at its service, and is refused once its route "
+    "uses another one")
+{
+    VersionedSite versions("versions-moved", 2, 3, 0);
+    Site &site = versions.site();
+    for (const std::string id : {"new-0", "new-1"})
+        site.setSoftwareVersion(site.addUpstream(id, "talk"), "v2");
+    auto &services = site.table().at("services").as_array();
+    auto talk = services.at(1).as_object();
+    talk["name"] = "talk";
+    services.push_back(talk);
+    auto &route = site.table().at("routes").as_array().at(3).as_object();
+    int probes = 0;
+    const auto newStreamsReachTalk = [&] {
+        const std::string id = "probe-" + std::to_string(++probes);
+        (void)requestStream(site, 1, id);
+        return Site::stat(site.upstream("new-0"), "runs").as_object().contains(id)
+               || Site::stat(site.upstream("new-1"), "runs").as_object().contains(id);
+    };
+    versions.command(SlowStreams);
+    auto streams = versions.beginAndInterrupt(0, [&] { site.instances()[0].process->kill(); });
+    versions.command(FastStreams);
+    std::vector<ReceivedStream> later(streams.begin() + StreamCount / 2, streams.end());
+    streams.resize(StreamCount / 2);
+
+    route.erase("service");
+    route["split"] =
+        boost::json::array{{{"service", "chat"}, {"weight", 1}}, {{"service", "talk"}, {"weight", 9}}};
+    site.publishTable();
+    REQUIRE(waitUntil(newStreamsReachTalk));
+    CHECK(2 * versions.takeUp(streams, 1) >= StreamCount / 2);
+
+    route.erase("split");
+    route["service"] = "talk";
+    site.publishTable();
+    const auto isRefused = [&] {
+        const std::string id = "refused-" + std::to_string(++probes);
+        return statusOf(requestStream(site, 1, id, &later.front())) == 503 && site.runsOf(id) == 0;
+    };
+    REQUIRE(waitUntil(isRefused));
+    CHECK(versions.takeUp(later, 1) == 0);
+}
+
 TEST_CASE("software versions: no stream goes on at another version after all instances are killed")
 {
     checkAllKilled("versions-lost", 3, false);
--- a/tests/peer/gossipmessagetest.cpp
+++ b/tests/peer/gossipmessagetest.cpp
@@ -132,3 +132,35 @@
         (void)decodeGossip(mutated);
     });
 }
+
+TEST_CASE("heartbeat: the origin of a stream, a request for it and its reply keep their values")
+{
+    GossipMessage message;
+    message.self.name = "one";
+    message.streamNotice = {7, {"chat", "v1.2"}};
+    const auto notice = decodeGossip(encodeGossip(message));
+    REQUIRE(notice);
+    REQUIRE(notice->streamNotice);
+    CHECK(notice->streamNotice->stream == 7);
+    CHECK(notice->streamNotice->origin == StreamOrigin{"chat", "v1.2"});
+    CHECK_FALSE(notice->originRequest);
+    CHECK_FALSE(notice->origin);
+    GossipMessage request;
+    request.self.name = "one";
+    request.originRequest = {5, 7};
+    const auto asked = decodeGossip(encodeGossip(request));
+    REQUIRE(asked);
+    REQUIRE(asked->originRequest);
+    CHECK(asked->originRequest->id == 5);
+    CHECK(asked->originRequest->content == 7);
+    for (const auto &origin : {std::optional<StreamOrigin>(), std::optional(StreamOrigin{"chat", ""})}) {
+        GossipMessage reply;
+        reply.self.name = "one";
+        reply.origin = {5, origin};
+        const auto answered = decodeGossip(encodeGossip(reply));
+        REQUIRE(answered);
+        REQUIRE(answered->origin);
+        CHECK(answered->origin->id == 5);
+        CHECK(answered->origin->content == origin);
+    }
+}
