Take the version of an entry for certain only if the entry describes the process that answers

Callers could get streams of two versions although each instance looked at the version: an engine that starts again under its id with another version, while the store is away, has an entry that still names the former one. A stream that begins there was told to peers with the wrong version and went on elsewhere at that one.

Cause: the entry was taken for the truth about the process at the other end of a connection. While the store is away, and for the time in which entries may be written again after that, it now holds only for connections that were opened before; and a crash that a peer reports leaves the version uncertain as a refused connection does. Whether a stream may go on at an upstream is decided once its connection is known and before anything is sent, so that nothing runs in vain. /state has storeLost.

--- a/include/chestnutsill/net/httpclient.h
+++ b/include/chestnutsill/net/httpclient.h
@@ -2,6 +2,7 @@
 
 #include "chestnutsill/net/fiber.h"
 #include "chestnutsill/net/http.h"
+#include "chestnutsill/policy/instant.h"
 
 #include <chrono>
 #include <memory>
@@ -71,6 +72,9 @@
     /// delivered late.
     void reset();
 
+    /// When the connection was opened.
+    [[nodiscard]] Instant connectedAt() const noexcept;
+
     /// Whether the last failure was a timeout.
     [[nodiscard]] bool timedOut() const noexcept;
 
--- a/include/chestnutsill/policy/catalog.h
+++ b/include/chestnutsill/policy/catalog.h
@@ -51,8 +51,10 @@
     /// Until when it is not used; set if a restored store shows it although it had been removed before.
     std::optional<Instant> withheldUntil;
     /// Since when the process that runs may be another one than the entry describes; see
-    /// `Catalog::runsVersion`.
+    /// `Catalog::describesProcess`.
     std::optional<Instant> doubtedSince;
+    /// Key of the process that the entry describes; see `incarnationKeyOf`.
+    std::uint64_t incarnationKey = 0;
 };
 
 /// The routing table, upstream entries and availability zones out of service, as far as this instance has
@@ -110,6 +112,10 @@
     /// not known for certain.
     void suspectRestart(std::string_view id, Instant now);
 
+    /// Records that a peer noticed the end of an upstream's process at an instant; see `incarnationKeyOf`.
+    /// The software version that now runs is not known for certain.
+    void recordPeerCrash(std::uint64_t incarnationKey, Instant at);
+
     /// Records that the store has been unreachable since `lastAnswerAt`.
     void recordStoreLost(Instant lastAnswerAt) noexcept;
 
@@ -142,12 +148,19 @@
     /// The record of an upstream, or null if it is unknown.
     [[nodiscard]] const UpstreamRecord *find(std::string_view id) const;
 
-    /// Whether the process that answers as an upstream is known for certain to run this software version. It
-    /// is not if the upstream may have been restarted since its entry was written, or if the entry may come
-    /// from the copy from which the store was restored: until an entry of another process is written, or for
-    /// `DoubtTime` and while the store is unreachable. A later write may still be one of the old process.
-    [[nodiscard]] bool runsVersion(const UpstreamRecord &record, std::string_view softwareVersion,
-                                   Instant now) const;
+    /// Whether the process that answers as an upstream is known for certain to be the one that its entry
+    /// describes, for example to run the same software version. It is not if the upstream may have been
+    /// restarted since, or if the entry may come from the copy from which the store was restored: until an
+    /// entry of another process is written, or for `DoubtTime` and while the store is unreachable. A later
+    /// write may still be one of the old process.
+    [[nodiscard]] bool describesProcess(const UpstreamRecord &record, Instant now) const;
+
+    /// The same for the process at the other end of a connection that was opened at an instant. An outage of
+    /// the store before that may hide the entry of a new process.
+    [[nodiscard]] bool describesProcess(const UpstreamRecord &record, Instant connectedAt, Instant now) const;
+
+    /// Whether the store is unreachable.
+    [[nodiscard]] bool isStoreLost() const noexcept { return m_storeLost; }
 
     /// Whether new requests may be sent to an upstream.
     [[nodiscard]] bool isUsable(std::string_view id) const;
--- a/include/chestnutsill/policy/crashtracker.h
+++ b/include/chestnutsill/policy/crashtracker.h
@@ -15,10 +15,14 @@
 
 namespace chestnutsill {
 
+/// Hash of an upstream's id and incarnation, by which instances tell each other of its end.
+[[nodiscard]] std::uint64_t incarnationKeyOf(std::string_view upstream,
+                                             std::string_view incarnation) noexcept;
+
 /// One crash of an upstream, as an instance reports it to its peers.
 struct CrashNotice
 {
-    /// Hash of the upstream's id and incarnation.
+    /// See `incarnationKeyOf`.
     std::uint64_t incarnation = 0;
     /// Fingerprints of the requests of the reporting instance that were running at the upstream.
     std::vector<std::uint64_t> fingerprints;
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -146,6 +146,9 @@
                        const Fiber &fiber);
     void relayEventStream(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
                           const Fiber &fiber);
+    /// Whether it is known for certain that an attempt is made at the software version for which its upstream
+    /// was chosen.
+    [[nodiscard]] bool isVersionCertain(const UpstreamAttempt &attempt) const;
     /// Notes the software version whose events follow, and tells peers where the stream may go on. Returns
     /// false if the events must not follow, because they would continue a stream and the version of the
     /// upstream is not known for certain.
--- a/src/daemon/statetext.cpp
+++ b/src/daemon/statetext.cpp
@@ -72,9 +72,13 @@
     json::array zones;
     for (const std::string &zone : state.catalog.zonesOutOfService())
         zones.emplace_back(zone);
-    json::object document{{"configVersion", table ? table->version : 0}, {"leaving", state.leaving},
-                          {"keptConnections", state.connections.size()}, {"zonesOut", std::move(zones)},
-                          {"instances", std::move(instances)},           {"upstreams", std::move(upstreams)}};
+    json::object document{{"configVersion", table ? table->version : 0},
+                          {"leaving", state.leaving},
+                          {"storeLost", state.catalog.isStoreLost()},
+                          {"keptConnections", state.connections.size()},
+                          {"zonesOut", std::move(zones)},
+                          {"instances", std::move(instances)},
+                          {"upstreams", std::move(upstreams)}};
     document["prefillTokensPerMs"] = std::move(prefillRates);
     document["deadlineModels"] = std::move(deadlineModels);
     document["bannedParts"] = std::move(bannedParts);
--- a/src/daemon/udpgossip.cpp
+++ b/src/daemon/udpgossip.cpp
@@ -168,6 +168,7 @@
     for (CrashNotice notice : message.crashes) {
         notice.at = time - (message.sentAt - notice.at);
         m_state.crashTracker.mergeNotice(notice, time, m_isHub);
+        m_state.catalog.recordPeerCrash(notice.incarnation, notice.at);
     }
     for (const std::uint64_t fingerprint : message.cleared)
         m_state.crashTracker.mergeCleared(fingerprint, m_isHub);
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -29,6 +29,7 @@
     std::array<char, MaxPieceBytes> piece{};
     std::string reason;
     bool timedOut = false;
+    Instant connectedAt{};
     /// Request of `startSend`, until it has been sent completely.
     std::optional<http::request<http::span_body<const char>>> outgoing;
     /// Why sending it failed. The socket reports a reset only once: to the read or to the write.
@@ -110,6 +111,7 @@
     boost::system::error_code ignored;
     stream.socket().set_option(Tcp::no_delay(true), ignored);
     enableDeadPeerDetection(stream.socket());
+    m_impl->connectedAt = now();
     return true;
 }
 
@@ -246,6 +248,11 @@
     m_impl->stream->close();
 }
 
+Instant HttpClient::connectedAt() const noexcept
+{
+    return m_impl->connectedAt;
+}
+
 bool HttpClient::timedOut() const noexcept
 {
     return m_impl->timedOut;
--- a/src/policy/catalog.cpp
+++ b/src/policy/catalog.cpp
@@ -1,5 +1,7 @@
 #include "chestnutsill/policy/catalog.h"
 
+#include "chestnutsill/policy/crashtracker.h"
+
 #include <algorithm>
 
 namespace chestnutsill {
@@ -72,6 +74,7 @@
         m_removedUpstreams.erase(removed);
     }
     record.entry = std::move(entry);
+    record.incarnationKey = incarnationKeyOf(record.entry.id, std::to_string(record.entry.startUnixMs));
     record.revision = revision;
     record.removeAt.reset();
 }
@@ -111,10 +114,23 @@
     record.doubtedSince = now;
 }
 
-bool Catalog::runsVersion(const UpstreamRecord &record, std::string_view softwareVersion, Instant now) const
+void Catalog::recordPeerCrash(std::uint64_t incarnationKey, Instant at)
+{
+    for (auto &[id, record] : m_upstreams) {
+        if (record.incarnationKey == incarnationKey)
+            record.doubtedSince = std::max(record.doubtedSince.value_or(at), at);
+    }
+}
+
+bool Catalog::describesProcess(const UpstreamRecord &record, Instant now) const
+{
+    return !record.doubtedSince || (!m_storeLost && now - *record.doubtedSince >= DoubtTime);
+}
+
+bool Catalog::describesProcess(const UpstreamRecord &record, Instant connectedAt, Instant now) const
 {
-    const bool isDoubted = record.doubtedSince && (m_storeLost || now - *record.doubtedSince < DoubtTime);
-    return !isDoubted && record.entry.softwareVersion == softwareVersion;
+    const bool mayLackEntries = m_storeLost || now < m_removalsDelayedUntil;
+    return describesProcess(record, now) && !(mayLackEntries && connectedAt > m_storeLostSince);
 }
 
 void Catalog::recordStoreLost(Instant lastAnswerAt) noexcept
--- a/src/policy/crashtracker.cpp
+++ b/src/policy/crashtracker.cpp
@@ -6,6 +6,11 @@
 
 namespace chestnutsill {
 
+std::uint64_t incarnationKeyOf(std::string_view upstream, std::string_view incarnation) noexcept
+{
+    return stableHash(incarnation, stableHash(upstream));
+}
+
 void CrashTracker::recordStart(std::string_view upstream, std::uint64_t fingerprint,
                                std::span<const std::uint64_t> parts)
 {
@@ -47,7 +52,7 @@
         return 0;
     CrashNotice notice;
     notice.at = now;
-    notice.incarnation = stableHash(incarnation, stableHash(upstream));
+    notice.incarnation = incarnationKeyOf(upstream, incarnation);
     for (const RunningRequest &request : found->second.running)
         addTo(notice, request);
     for (const BrokenAttempt &entry : found->second.broken) {
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -142,6 +142,11 @@
         recordFailure(attempt, AttemptResult::Refused, "no longer allowed before the first byte");
         return;
     }
+    attempt.versionIsCertain = isVersionCertain(attempt);
+    if (context.streamVersion && !attempt.versionIsCertain) {
+        recordFailure(attempt, AttemptResult::Refused, "the upstream may run another software version");
+        return;
+    }
     UpstreamSendOptions options;
     options.upstream = attempt.upstream;
     options.timeLeft = remainingTime(context);
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -121,7 +121,9 @@
             || (!filter.includeEjected && m_state.outlierDetector.isEjected(id, time))
             || (!filter.includeSuspected && m_state.silenceDetector.isSuspected(id)))
             continue;
-        if (context.streamVersion && !m_state.catalog.runsVersion(*record, *context.streamVersion, time))
+        if (context.streamVersion
+            && (record->entry.softwareVersion != *context.streamVersion
+                || !m_state.catalog.describesProcess(*record, time)))
             continue;
         const bool isLimited = m_state.rateLimits.perSecond(id).has_value();
         if (isLimited
@@ -191,7 +193,6 @@
         attempt.address = record.entry.address;
         attempt.softwareVersion = record.entry.softwareVersion;
         attempt.startUnixMs = record.entry.startUnixMs;
-        attempt.versionIsCertain = m_state.catalog.runsVersion(record, attempt.softwareVersion, time);
         attempt.tokensToPrefill = selection->tokensToPrefill;
         if (context.service != nullptr && context.service->engine)
             attempt.expectedFirstTokenMs = selection->firstTokenMs;
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -24,7 +24,7 @@
     /// Version of the upstream's software and the start of its process, as published when it was selected.
     std::string softwareVersion;
     std::int64_t startUnixMs = 0;
-    /// Whether that version was known for certain to run then.
+    /// Whether that version was known for certain to run when sending began.
     bool versionIsCertain = false;
     /// Prompt tokens that the upstream is expected to prefill.
     double tokensToPrefill = 0;
--- a/src/router/resumption.cpp
+++ b/src/router/resumption.cpp
@@ -41,15 +41,20 @@
     return std::nullopt;
 }
 
+bool Router::isVersionCertain(const UpstreamAttempt &attempt) const
+{
+    const UpstreamRecord *record = m_state.catalog.find(attempt.upstream);
+    return record != nullptr && record->entry.startUnixMs == attempt.startUnixMs
+           && record->entry.softwareVersion == attempt.softwareVersion
+           && m_state.catalog.describesProcess(*record, attempt.client->connectedAt(), now());
+}
+
 bool Router::beginEvents(RequestContext &context, const UpstreamAttempt &attempt)
 {
     context.eventVersions.push_back(attempt.softwareVersion);
-    const UpstreamRecord *record = m_state.catalog.find(attempt.upstream);
     // An upstream whose entry has been removed finishes what it runs.
-    const bool isSame = record == nullptr
-                        || (record->entry.startUnixMs == attempt.startUnixMs
-                            && m_state.catalog.runsVersion(*record, attempt.softwareVersion, now()));
-    if (!attempt.versionIsCertain || !isSame)
+    const bool isRemoved = m_state.catalog.find(attempt.upstream) == nullptr;
+    if (!attempt.versionIsCertain || (!isRemoved && !isVersionCertain(attempt)))
         return !context.streamVersion;
     if (!context.route->resumable)
         return true;
--- a/tests/entry/softwareversiontest.cpp
+++ b/tests/entry/softwareversiontest.cpp
@@ -364,6 +364,26 @@
     (void)versions.takeUp(streams, 1);
 }
 
+TEST_CASE(
+    "software versions: a stream that begins at an engine that started again during an outage of the store "
+    "does not go on")
+{
+    VersionedSite versions("versions-outage", 2, 2, 0);
+    Site &site = versions.site();
+    site.commandStore(R"({"mode":"refuse"})");
+    REQUIRE(waitUntil(
+        [&] { return site.state(0).at("storeLost").as_bool() && site.state(1).at("storeLost").as_bool(); }));
+    // The entry cannot tell of the new version, and no connection to the old process breaks.
+    Site::Upstream &upstream = site.upstream("old-0");
+    upstream.process->kill();
+    site.startUpstream(upstream);
+    Site::commandUpstream(upstream, R"({"version":"v2"})");
+    versions.command(SlowStreams);
+    auto streams = versions.beginAndInterrupt(0, [&] { site.instances()[0].process->kill(); });
+    versions.command(FastStreams);
+    (void)versions.takeUp(streams, 1);
+}
+
 TEST_CASE("software versions: a stream that was begun at nobody knows which version is refused as not run")
 {
     VersionedSite versions("versions-unknown", 3, 2, 2);
--- a/tests/policy/catalogtest.cpp
+++ b/tests/policy/catalogtest.cpp
@@ -1,4 +1,5 @@
 #include "chestnutsill/policy/catalog.h"
+#include "chestnutsill/policy/crashtracker.h"
 #include "chestnutsill/policy/revisionlagdetector.h"
 
 #include <doctest/doctest.h>
@@ -276,7 +277,8 @@
     engine.startUnixMs = 100;
     catalog.updateUpstream(engine, {1, 1}, seconds(1));
     const auto runs = [&](std::string_view version, Instant now) {
-        return catalog.runsVersion(*catalog.find("u1"), version, now);
+        const UpstreamRecord &record = *catalog.find("u1");
+        return record.entry.softwareVersion == version && catalog.describesProcess(record, now);
     };
     CHECK(runs("v1", seconds(1)));
     CHECK_FALSE(runs("v2", seconds(1)));
@@ -306,8 +308,43 @@
     copy.softwareVersion = "v1";
     copy.startUnixMs = 100;
     catalog.updateUpstream(copy, {2, 5}, seconds(2));
-    CHECK_FALSE(catalog.runsVersion(*catalog.find("u1"), "v1", seconds(2)));
-    CHECK_FALSE(catalog.runsVersion(*catalog.find("u1"), "v2", seconds(2)));
+    CHECK_FALSE(catalog.describesProcess(*catalog.find("u1"), seconds(2)));
     catalog.updateUpstream(engine, {2, 6}, seconds(3));
-    CHECK(catalog.runsVersion(*catalog.find("u1"), "v2", seconds(3)));
+    CHECK(catalog.find("u1")->entry.softwareVersion == "v2");
+    CHECK(catalog.describesProcess(*catalog.find("u1"), seconds(3)));
+}
+
+TEST_CASE(
+    "catalog: an outage of the store leaves the processes uncertain to which connections were opened since")
+{
+    Catalog catalog;
+    catalog.applyTable(table(1));
+    catalog.updateUpstream(entry("u1"), {1, 1}, seconds(1));
+    const UpstreamRecord &record = *catalog.find("u1");
+    CHECK(catalog.describesProcess(record, seconds(2), seconds(2)));
+    catalog.recordStoreLost(seconds(3));
+    CHECK(catalog.describesProcess(record, seconds(2), seconds(9)));
+    CHECK_FALSE(catalog.describesProcess(record, seconds(4), seconds(9)));
+    catalog.recordStoreRegained(seconds(10));
+    CHECK_FALSE(catalog.describesProcess(record, seconds(4), seconds(10)));
+    CHECK(catalog.describesProcess(record, seconds(4), seconds(10) + Catalog::RemovalDelay));
+}
+
+TEST_CASE("catalog: a crash that a peer reports leaves the process uncertain unless its successor is known")
+{
+    Catalog catalog;
+    catalog.applyTable(table(1));
+    UpstreamEntry engine = entry("u1");
+    engine.startUnixMs = 100;
+    catalog.updateUpstream(engine, {1, 1}, seconds(1));
+    const UpstreamRecord &record = *catalog.find("u1");
+    catalog.recordPeerCrash(incarnationKeyOf("u1", "99"), seconds(2));
+    catalog.recordPeerCrash(incarnationKeyOf("u2", "100"), seconds(2));
+    CHECK(catalog.describesProcess(record, seconds(2)));
+    catalog.recordPeerCrash(incarnationKeyOf("u1", "100"), seconds(2));
+    CHECK_FALSE(catalog.describesProcess(record, seconds(2)));
+    engine.startUnixMs = 200;
+    catalog.updateUpstream(engine, {1, 2}, seconds(3));
+    catalog.recordPeerCrash(incarnationKeyOf("u1", "100"), seconds(2));
+    CHECK(catalog.describesProcess(record, seconds(3)));
 }
