Send nothing more to an upstream that says in an answer that it is leaving

Callers' requests went on reaching upstreams that had said in their answers that they leave, for as long as the store showed them as ready (DRAIN): when the store is slow or away, or the instance out of touch, they may be cut when the upstream exits.

Cause: nothing read what responses say of the upstream itself. Now any response of the process, also a refusal and the answer to a health check, ends its use at this instance until an entry of another process is written: first attempts, retries, streams that go on, and requests that wait for a permit or a connection, since the last check before the first byte asks the same. An entry that is written again, or that comes back after an outage of the store, changes nothing. Other instances learn of it from the store or from responses of their own.

--- a/include/chestnutsill/policy/catalog.h
+++ b/include/chestnutsill/policy/catalog.h
@@ -42,6 +42,8 @@
 struct UpstreamRecord
 {
     UpstreamEntry entry;
+    /// Start of the process of the upstream that has said in a response that it is leaving.
+    std::optional<std::int64_t> leavingStartUnixMs;
     /// Store revision of the entry.
     StoreRevision revision;
     /// End of its cold start.
@@ -57,6 +59,9 @@
     std::uint64_t incarnationKey = 0;
 };
 
+/// Whether an upstream is leaving, by its entry or by what its process has said.
+[[nodiscard]] bool isLeaving(const UpstreamRecord &record) noexcept;
+
 /// The routing table, upstream entries and availability zones out of service, as far as this instance has
 /// read them from the store. The version of the routing table never decreases. Not thread-safe.
 class Catalog
@@ -112,6 +117,10 @@
     /// not known for certain.
     void suspectRestart(std::string_view id, Instant now);
 
+    /// Records that the process of an upstream with this start has said in a response that it is leaving. It
+    /// gets no new requests any more, whatever its entry says. Returns false if that was known.
+    bool recordLeaving(std::string_view id, std::int64_t startUnixMs);
+
     /// Records that a peer noticed the end of an upstream's process at an instant; see `incarnationKeyOf`.
     /// The software version that now runs is not known for certain.
     void recordPeerCrash(std::uint64_t incarnationKey, Instant at);
@@ -180,6 +189,7 @@
     struct RemovedUpstream
     {
         std::int64_t startUnixMs = 0;
+        std::optional<std::int64_t> leavingStartUnixMs;
         /// Era in which it was removed.
         std::uint64_t era = 0;
         Instant at{};
--- a/include/chestnutsill/router/protocoladapter.h
+++ b/include/chestnutsill/router/protocoladapter.h
@@ -52,6 +52,10 @@
     std::optional<double> maxRequestRate;
     /// The text that should be such a rate and can't be read as one; empty if there is none.
     std::string malformedRate;
+    /// Whether the upstream says that it is leaving.
+    bool leaving = false;
+    /// Id of the upstream incarnation that responded; empty if the response does not name it.
+    std::string upstream;
     /// How long the connection may stay idle before its next request; empty if it must not be reused.
     std::optional<milliseconds> maxIdleTime;
 };
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -140,6 +140,9 @@
                                      const Fiber &fiber);
     void send(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
     void receive(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
+    /// Records that an upstream is leaving if a response of its process with this start says so.
+    void recordLeaving(const std::string &upstream, std::int64_t startUnixMs,
+                       const UpstreamResponse &response);
     /// Records the request rate that a response names, or that it names none.
     void recordRequestRate(const UpstreamAttempt &attempt, const UpstreamResponse &response, int status);
     void relayResponse(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
--- a/src/daemon/statetext.cpp
+++ b/src/daemon/statetext.cpp
@@ -28,7 +28,7 @@
             {"zone", entry.zone},
             {"softwareVersion", entry.softwareVersion},
             {"usable", state.catalog.isUsable(entry.id)},
-            {"leaving", entry.leaving},
+            {"leaving", isLeaving(record)},
             {"coldForMs", std::max(0.0, toMs(record.coldUntil - now))},
             {"leftOut", state.outlierDetector.isEjected(entry.id, now)},
             {"silent", state.silenceDetector.isSilent(entry.id)},
--- a/src/policy/catalog.cpp
+++ b/src/policy/catalog.cpp
@@ -3,6 +3,7 @@
 #include "chestnutsill/policy/crashtracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chestnutsill {
 
@@ -71,6 +72,7 @@
     if (const auto removed = m_removedUpstreams.find(entry.id); removed != m_removedUpstreams.end()) {
         if (revision.era > removed->second.era && entry.startUnixMs == removed->second.startUnixMs)
             record.withheldUntil = now + ReturnDelay;
+        record.leavingStartUnixMs = removed->second.leavingStartUnixMs;
         m_removedUpstreams.erase(removed);
     }
     record.entry = std::move(entry);
@@ -99,8 +101,9 @@
 {
     std::erase_if(m_removedUpstreams, [&](const auto &item) { return now - item.second.at > RemovalMemory; });
     const auto found = m_upstreams.find(id);
-    m_removedUpstreams.insert_or_assign(found->first,
-                                        RemovedUpstream{found->second.entry.startUnixMs, m_era, now});
+    m_removedUpstreams.insert_or_assign(
+        found->first,
+        RemovedUpstream{found->second.entry.startUnixMs, found->second.leavingStartUnixMs, m_era, now});
     m_upstreams.erase(found);
 }
 
@@ -114,6 +117,17 @@
     record.doubtedSince = now;
 }
 
+bool Catalog::recordLeaving(std::string_view id, std::int64_t startUnixMs)
+{
+    const auto found = m_upstreams.find(id);
+    const auto removed = m_removedUpstreams.find(id);
+    if (found == m_upstreams.end() && removed == m_removedUpstreams.end())
+        return false;
+    auto &leaving =
+        found != m_upstreams.end() ? found->second.leavingStartUnixMs : removed->second.leavingStartUnixMs;
+    return std::exchange(leaving, startUnixMs) != startUnixMs;
+}
+
 void Catalog::recordPeerCrash(std::uint64_t incarnationKey, Instant at)
 {
     for (auto &[id, record] : m_upstreams) {
@@ -188,9 +202,14 @@
         setZoneOutOfService(zone, false);
 }
 
+bool isLeaving(const UpstreamRecord &record) noexcept
+{
+    return record.entry.leaving || record.leavingStartUnixMs == record.entry.startUnixMs;
+}
+
 bool Catalog::isUsable(const UpstreamRecord &record) const
 {
-    return !record.entry.leaving && !record.withheldUntil && !isZoneOutOfService(record.entry.zone);
+    return !isLeaving(record) && !record.withheldUntil && !isZoneOutOfService(record.entry.zone);
 }
 
 std::vector<const UpstreamRecord *> Catalog::usableUpstreams(std::string_view service) const
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -190,6 +190,7 @@
         attempt.framing = framingOf(*head);
         context.upstreamFraming = attempt.framing;
         recordRequestRate(attempt, response, head->status);
+        recordLeaving(attempt.upstream, attempt.startUnixMs, response);
         if (response.outcome == UpstreamResponse::Outcome::Answer) {
             if (!attempt.firstByteSeen) {
                 attempt.firstByteSeen = true;
--- a/src/router/upstreamhealth.cpp
+++ b/src/router/upstreamhealth.cpp
@@ -40,19 +40,34 @@
     NoAnswer,
 };
 
-HealthResult checkHealth(HttpClient &client, const std::string &address, std::string_view path,
-                         const Fiber &fiber)
+/// Checks the health of an upstream on a new connection, and sets `head` if a response arrives.
+HealthResult checkHealth(HttpClient &client, const UpstreamEntry &entry, std::string_view path,
+                         std::optional<HttpHead> &head, const Fiber &fiber)
 {
-    if (!client.connect(address, HealthConnectTimeout, fiber))
+    if (!client.connect(entry.address, HealthConnectTimeout, fiber))
         return client.timedOut() ? HealthResult::NoAnswer : HealthResult::Refused;
-    const auto response = client.call({.target = path}, MaxHealthBytes, HealthTimeout, fiber);
+    auto response = client.call({.target = path}, MaxHealthBytes, HealthTimeout, fiber);
     if (response && !response->head.keepAlive)
         client.close();
+    if (response)
+        head = std::move(response->head);
     return response || !client.timedOut() ? HealthResult::Answered : HealthResult::NoAnswer;
 }
 
 } // namespace
 
+void Router::recordLeaving(const std::string &upstream, std::int64_t startUnixMs,
+                           const UpstreamResponse &response)
+{
+    using Outcome = UpstreamResponse::Outcome;
+    const bool isOther = !response.upstream.empty() && response.upstream != upstream;
+    if (!response.leaving || isOther || response.outcome == Outcome::Stray
+        || response.outcome == Outcome::OtherIncarnation)
+        return;
+    if (m_state.catalog.recordLeaving(upstream, startUnixMs))
+        log(LogLevel::Info, "upstream-leaving", {{"upstream", upstream}});
+}
+
 void Router::handleUnreachable(const std::string &upstream, bool refused)
 {
     const Instant time = now();
@@ -125,8 +140,9 @@
             detector.dismiss(upstream);
             break;
         }
-        const std::string address = record->entry.address;
-        const std::string path = healthPath(record->entry.service);
+        // The record may change while the check waits.
+        const UpstreamEntry entry = record->entry;
+        const std::string path = healthPath(entry.service);
         // A health check takes a slot like any other request.
         if (!acquirePermit(upstream, MaxHealthPause, 0, fiber)) {
             sleepFor(pause, fiber);
@@ -134,7 +150,10 @@
         }
         auto client = std::make_unique<HttpClient>();
         ++checks;
-        const HealthResult result = checkHealth(*client, address, path, fiber);
+        std::optional<HttpHead> head;
+        const HealthResult result = checkHealth(*client, entry, path, head, fiber);
+        if (head)
+            recordLeaving(upstream, entry.startUnixMs, m_protocol.interpret(*head, {}));
         if (result == HealthResult::Answered) {
             detector.recordBytes(upstream, now());
             if (client->isIdle())
--- a/tests/platform/wiretest.cpp
+++ b/tests/platform/wiretest.cpp
@@ -157,6 +157,18 @@
     CHECK(countOf(forwarded.fields, "Keep-Alive") == 0);
 }
 
+TEST_CASE("wire: a response says that its upstream is leaving, and which upstream that is")
+{
+    const auto read = [](std::vector<HttpField> fields) {
+        return platform::protocolAdapter().interpret({503, std::move(fields), std::nullopt, true}, "a1");
+    };
+    CHECK(read({{"server-leaving", " 1 "}}).leaving);
+    CHECK(read({{"Server-Leaving", "1"}, {"X-Replica-Id", "u1"}}).upstream == "u1");
+    for (const char *value : {"0", "", "yes", "11"})
+        CHECK_FALSE(read({{"Server-Leaving", value}}).leaving);
+    CHECK_FALSE(read({}).leaving);
+}
+
 TEST_CASE("wire: a request rate that is not a decimal number is told apart from one that is not given")
 {
     const auto read = [](std::vector<HttpField> fields) {
--- a/tests/policy/catalogtest.cpp
+++ b/tests/policy/catalogtest.cpp
@@ -348,3 +348,26 @@
     catalog.recordPeerCrash(incarnationKeyOf("u1", "100"), seconds(2));
     CHECK(catalog.describesProcess(record, seconds(3)));
 }
+
+TEST_CASE("catalog: an upstream that has said that it leaves is not used again before it has been restarted")
+{
+    Catalog catalog;
+    catalog.applyTable(table(1));
+    UpstreamEntry leaving = entry("u1");
+    leaving.startUnixMs = 100;
+    catalog.updateUpstream(leaving, {1, 1}, seconds(1));
+    CHECK_FALSE(catalog.recordLeaving("u2", 99));
+    CHECK(catalog.recordLeaving("u1", 99));
+    CHECK(catalog.isUsable("u1"));
+    CHECK(catalog.recordLeaving("u1", 100));
+    CHECK_FALSE(catalog.recordLeaving("u1", 100));
+    CHECK_FALSE(catalog.isUsable("u1"));
+    catalog.updateUpstream(leaving, {1, 2}, seconds(2));
+    CHECK_FALSE(catalog.isUsable("u1"));
+    catalog.removeUpstream("u1", {1, 3}, seconds(3));
+    catalog.updateUpstream(leaving, {1, 4}, seconds(4));
+    CHECK_FALSE(catalog.isUsable("u1"));
+    leaving.startUnixMs = 200;
+    catalog.updateUpstream(leaving, {1, 5}, seconds(5));
+    CHECK(catalog.isUsable("u1"));
+}
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -15,13 +15,14 @@
 
 /// Stand-in for an upstream of the users' platform. It answers a plain request after `workMs` and a streaming
 /// request with `events` events, one each `eventMs`, and counts executions. Commands to /control have the
-/// fields `mode`, `events`, `eventMs`, `workMs`, `version`, which its events name unless it is empty, and
-/// `rate`, the request rate that its responses name unless it is empty. Modes: ok; error (status 500); shed
-/// (rejects without executing); reset (executes, then resets the connection); mute (executes, then sends
-/// nothing); cut (breaks off a stream in the middle of an event); cut-first (the same, unless it resumes
-/// one); stray (sends a response to another request first). A request whose body contains `poison` ends the
-/// process, and so does, after the first event, a streaming request whose prompt has the shared part `dead`.
-/// Options: listen, id.
+/// fields `mode`, `events`, `eventMs`, `workMs`, `version`, which its events name unless it is empty,
+/// `rate`, the request rate that its responses name unless it is empty, `retryAfter`, which its refusals
+/// state unless it is empty, and `leaving`, whether its responses say that it leaves. Modes: ok; error
+/// (status 500); shed (rejects without executing); reset (executes, then resets the connection); mute
+/// (executes, then sends nothing); cut (breaks off a stream in the middle of an event); cut-first (the same,
+/// unless it resumes one); stray (sends a response to another request first). A request whose body contains
+/// `poison` ends the process, and so does, after the first event, a streaming request whose prompt has the
+/// shared part `dead`. Options: listen, id.
 class Replica
 {
 public:
@@ -40,11 +41,25 @@
         if (request.target == "/control")
             return control(exchange, fiber);
         const std::string id(request.field("X-Attempt-Id"));
+        std::vector<HttpField> fields;
+        if (m_leaving)
+            fields.push_back({"Server-Leaving", "1"});
+        if (request.target == "/healthz") {
+            ++m_healthChecks;
+            fields.push_back({"X-Replica-Id", m_id});
+            return answer(exchange, m_leaving ? 503 : 200, fields, "", fiber);
+        }
         if (request.field("X-Expect-Instance") != m_id)
             return answer(exchange, 421, {{"X-Replica-Id", m_id}}, "", fiber);
-        if (m_mode == "shed")
-            return answer(exchange, 503, {{"X-Not-Executed", "1"}, {"X-Attempt-Id", id}}, "", fiber);
-        run(exchange, id, fiber);
+        fields.push_back({"X-Attempt-Id", id});
+        if (m_mode == "shed") {
+            fields.push_back({"X-Not-Executed", "1"});
+            if (!m_retryAfter.empty())
+                fields.push_back({"Retry-After", m_retryAfter});
+            ++m_refused;
+            return answer(exchange, 503, fields, "", fiber);
+        }
+        run(exchange, id, std::move(fields), fiber);
     }
 
     json::value stats() const
@@ -52,9 +67,17 @@
         json::object runs;
         for (const auto &[id, count] : m_runs)
             runs[id] = count;
-        return {{"runs", std::move(runs)},    {"started", m_started},         {"abandoned", m_abandoned},
-                {"account", m_account},       {"keySeen", m_keySeen},         {"lastEventId", m_lastEventId},
-                {"deadlineMs", m_deadlineMs}, {"lastStartMs", m_lastStartMs}, {"rank", m_rank}};
+        return {{"runs", std::move(runs)},
+                {"started", m_started},
+                {"abandoned", m_abandoned},
+                {"refused", m_refused},
+                {"healthChecks", m_healthChecks},
+                {"account", m_account},
+                {"keySeen", m_keySeen},
+                {"lastEventId", m_lastEventId},
+                {"deadlineMs", m_deadlineMs},
+                {"lastStartMs", m_lastStartMs},
+                {"rank", m_rank}};
     }
 
     void control(Exchange &exchange, const Fiber &fiber)
@@ -67,6 +90,10 @@
         m_workMs = integer(command, "workMs", m_workMs);
         if (const auto *rate = command.if_contains("rate"))
             m_rate = json::value_to<std::string>(*rate);
+        if (const auto *leaving = command.if_contains("leaving"))
+            m_leaving = leaving->as_bool();
+        if (const auto *retryAfter = command.if_contains("retryAfter"))
+            m_retryAfter = json::value_to<std::string>(*retryAfter);
         if (const auto *version = command.if_contains("version"))
             m_version = json::value_to<std::string>(*version);
         respondJson(exchange, 200, json::object{{"ok", true}}, fiber);
@@ -88,11 +115,11 @@
             ::_exit(1);
     }
 
-    void run(Exchange &exchange, const std::string &id, const Fiber &fiber)
+    void run(Exchange &exchange, const std::string &id, std::vector<HttpField> fields, const Fiber &fiber)
     {
         const HttpRequest &request = exchange.request();
         recordRun(request, id);
-        std::vector<HttpField> fields{{"X-Attempt-Id", id}, {"X-Server-Seal", m_id + '.' + id}};
+        fields.push_back({"X-Server-Seal", m_id + '.' + id});
         if (!m_rate.empty())
             fields.push_back({"Server-Limit", m_rate});
         // A command that arrives while the request is in progress applies to the next one.
@@ -157,9 +184,13 @@
     std::int64_t m_workMs = 10;
     std::string m_rate;
     std::string m_version;
+    bool m_leaving = false;
+    std::string m_retryAfter;
     std::map<std::string, std::int64_t> m_runs;
     std::int64_t m_started = 0;
     std::int64_t m_abandoned = 0;
+    std::int64_t m_refused = 0;
+    std::int64_t m_healthChecks = 0;
     std::int64_t m_lastStartMs = 0;
     std::string m_account;
     std::string m_lastEventId;
