Leave an upstream alone for the time that it states in a refusal

Cause: nothing read the field. Now the process that stated it gets nothing from this instance before the time has passed: it is no candidate, the last check before the first byte asks again, and health checks wait. Requests go to other upstreams; if none is left, they are refused as not run with the time until one accepts requests again, and return spread over a third of what remains of their time after that. The same now holds for upstreams that limit their rate, whose Retry-After was cut off at a third of the time left and so could be too short. What is no number of seconds is logged and pauses nothing; ten minutes are the most.

--- a/include/chestnutsill/chestnutsill.h
+++ b/include/chestnutsill/chestnutsill.h
@@ -39,6 +39,7 @@
 #include "chestnutsill/policy/storerevision.h"
 #include "chestnutsill/policy/streamorigins.h"
 #include "chestnutsill/policy/upstreamload.h"
+#include "chestnutsill/policy/upstreampauses.h"
 #include "chestnutsill/policy/upstreamratelimits.h"
 #include "chestnutsill/policy/upstreamselection.h"
 #include "chestnutsill/policy/verdict.h"
--- a/include/chestnutsill/fwd.h
+++ b/include/chestnutsill/fwd.h
@@ -27,6 +27,7 @@
 class RevisionLagDetector;
 class SilenceDetector;
 class StreamOrigins;
+class UpstreamPauses;
 class UpstreamRateLimits;
 class WindowedRetryBudget;
 
--- a/include/chestnutsill/router/protocoladapter.h
+++ b/include/chestnutsill/router/protocoladapter.h
@@ -52,6 +52,11 @@
     std::optional<double> maxRequestRate;
     /// The text that should be such a rate and can't be read as one; empty if there is none.
     std::string malformedRate;
+    /// For how long the upstream wants no more requests from this instance, if it refuses one with status 503
+    /// and states a time.
+    std::optional<milliseconds> pause;
+    /// The text that should be such a time and can't be read as one; empty if there is none.
+    std::string malformedPause;
     /// Whether the upstream says that it is leaving.
     bool leaving = false;
     /// Id of the upstream incarnation that responded; empty if the response does not name it.
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -16,6 +16,7 @@
 #include "chestnutsill/policy/silencedetector.h"
 #include "chestnutsill/policy/streamorigins.h"
 #include "chestnutsill/policy/upstreamload.h"
+#include "chestnutsill/policy/upstreampauses.h"
 #include "chestnutsill/policy/upstreamratelimits.h"
 #include "chestnutsill/policy/upstreamselection.h"
 #include "chestnutsill/policy/windowedretrybudget.h"
@@ -64,6 +65,7 @@
     ColdStartLimiter coldStartLimiter;
     UpstreamRateLimits rateLimits;
     PermitIssuer permitIssuer;
+    UpstreamPauses upstreamPauses;
     CrashTracker crashTracker;
     StreamOrigins streamOrigins;
     ConnectionPool connections;
@@ -140,9 +142,13 @@
                                      const Fiber &fiber);
     void send(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
     void receive(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
-    /// Records that an upstream is leaving if a response of its process with this start says so.
-    void recordLeaving(const std::string &upstream, std::int64_t startUnixMs,
-                       const UpstreamResponse &response);
+    /// Records what a response of an upstream's process with this start says about it: that it is leaving, or
+    /// that it wants no requests for a time.
+    void recordStatements(const std::string &upstream, std::int64_t startUnixMs,
+                          const UpstreamResponse &response);
+    /// The end of the time for which an upstream wants no requests from this instance; nothing if it accepts
+    /// them.
+    [[nodiscard]] std::optional<Instant> pausedUntil(const UpstreamRecord &record, Instant time) const;
     /// Records the request rate that a response names, or that it names none.
     void recordRequestRate(const UpstreamAttempt &attempt, const UpstreamResponse &response, int status);
     void relayResponse(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -280,6 +280,7 @@
             m_state.connections.expire(now());
             m_state.permitIssuer.expire(now());
             m_state.streamOrigins.expire(now());
+            m_state.upstreamPauses.expire(now());
             expireRateLimits();
             // The file may change without a SIGHUP.
             if (period % SettingsCheckPeriods == 0 && settingsText(m_settingsPath) != m_settingsText)
--- a/src/daemon/statetext.cpp
+++ b/src/daemon/statetext.cpp
@@ -21,6 +21,7 @@
 {
     const auto maxRequestRate = state.rateLimits.perSecond(record.entry.id);
     const UpstreamEntry &entry = record.entry;
+    const auto pauseEnd = state.upstreamPauses.pausedUntil(entry.id, entry.startUnixMs, now);
     const Load load = state.loadTable.total(entry.id, now);
     return {{"upstream", entry.id},
             {"service", entry.service},
@@ -32,6 +33,7 @@
             {"coldForMs", std::max(0.0, toMs(record.coldUntil - now))},
             {"leftOut", state.outlierDetector.isEjected(entry.id, now)},
             {"silent", state.silenceDetector.isSilent(entry.id)},
+            {"pausedForMs", pauseEnd ? toMs(*pauseEnd - now) : 0.0},
             {"maxRequestRate", maxRequestRate ? json::value(*maxRequestRate) : json::value(nullptr)},
             {"failureShare", state.outlierDetector.failureRate(entry.id, now)},
             {"running", load.running},
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -119,7 +119,10 @@
 
 bool Router::mayStart(const RequestContext &context, const UpstreamAttempt &attempt) const
 {
-    if (context.callerGone || now() >= context.deadline || !m_state.catalog.isUsable(attempt.upstream))
+    const Instant time = now();
+    const UpstreamRecord *record = m_state.catalog.find(attempt.upstream);
+    if (context.callerGone || time >= context.deadline || record == nullptr
+        || !m_state.catalog.isUsable(attempt.upstream) || pausedUntil(*record, time))
         return false;
     return context.account == nullptr || isKeyFresh();
 }
@@ -190,7 +193,7 @@
         attempt.framing = framingOf(*head);
         context.upstreamFraming = attempt.framing;
         recordRequestRate(attempt, response, head->status);
-        recordLeaving(attempt.upstream, attempt.startUnixMs, response);
+        recordStatements(attempt.upstream, attempt.startUnixMs, response);
         if (response.outcome == UpstreamResponse::Outcome::Answer) {
             if (!attempt.firstByteSeen) {
                 attempt.firstByteSeen = true;
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -56,14 +56,17 @@
            / static_cast<double>(Steps);
 }
 
-/// When a permit for a usable upstream of a service may be had; nothing if none of them limits its rate.
-std::optional<Instant> nextPermitAt(const RouterState &state, std::string_view service)
+/// When the first of the usable upstreams of a service accepts a request again that limits its rate or wants
+/// none for a time; nothing if there is none.
+std::optional<Instant> nextAcceptedAt(const RouterState &state, std::string_view service, Instant time)
 {
     std::optional<Instant> earliest;
     for (const UpstreamRecord *record : state.catalog.usableUpstreams(service)) {
-        if (!state.rateLimits.perSecond(record->entry.id))
+        const std::string &id = record->entry.id;
+        const auto pauseEnd = state.upstreamPauses.pausedUntil(id, record->entry.startUnixMs, time);
+        if (!pauseEnd && !state.rateLimits.perSecond(id))
             continue;
-        const Instant at = state.rateLimits.nextPermitAt(record->entry.id);
+        const Instant at = std::max(state.rateLimits.nextPermitAt(id), pauseEnd.value_or(Instant{}));
         earliest = std::min(earliest.value_or(at), at);
     }
     return earliest;
@@ -125,6 +128,8 @@
             && (record->entry.softwareVersion != *context.streamVersion
                 || !m_state.catalog.describesProcess(*record, time)))
             continue;
+        if (pausedUntil(*record, time))
+            continue;
         const bool isLimited = m_state.rateLimits.perSecond(id).has_value();
         if (isLimited
             && (contains(context.deniedUpstreams, id) || context.deniedUpstreams.size() >= MaxPermitRequests
@@ -207,10 +212,9 @@
             m_state.coldStartLimiter.recordSend(attempt.upstream, time);
         return std::nullopt;
     }
-    if (const auto permitAt = nextPermitAt(m_state, context.serviceName)) {
-        const Instant left = context.deadline - time;
-        const auto delay = std::chrono::ceil<milliseconds>(*permitAt - time);
-        context.retryAfter = std::clamp(delay, retryDelay(left, drawOf(context)), retryDelay(left, 1));
+    if (const auto acceptedAt = nextAcceptedAt(m_state, context.serviceName, time)) {
+        const auto delay = std::max(std::chrono::ceil<milliseconds>(*acceptedAt - time), milliseconds(0));
+        context.retryAfter = delay + retryDelay(context.deadline - time - delay, drawOf(context));
         return refuseNotRun("rate-limited", "the upstreams of the service accept no more requests now");
     }
     return refuseNotRun("no-upstream", "no upstream of the service can accept the request now");
--- a/src/router/upstreamhealth.cpp
+++ b/src/router/upstreamhealth.cpp
@@ -56,16 +56,31 @@
 
 } // namespace
 
-void Router::recordLeaving(const std::string &upstream, std::int64_t startUnixMs,
-                           const UpstreamResponse &response)
+void Router::recordStatements(const std::string &upstream, std::int64_t startUnixMs,
+                              const UpstreamResponse &response)
 {
     using Outcome = UpstreamResponse::Outcome;
     const bool isOther = !response.upstream.empty() && response.upstream != upstream;
-    if (!response.leaving || isOther || response.outcome == Outcome::Stray
-        || response.outcome == Outcome::OtherIncarnation)
+    if (isOther || response.outcome == Outcome::Stray || response.outcome == Outcome::OtherIncarnation)
         return;
-    if (m_state.catalog.recordLeaving(upstream, startUnixMs))
+    if (response.leaving && m_state.catalog.recordLeaving(upstream, startUnixMs))
         log(LogLevel::Info, "upstream-leaving", {{"upstream", upstream}});
+    if (!response.malformedPause.empty())
+        log(LogLevel::Warning, "upstream-pause-malformed",
+            {{"upstream", upstream}, {"value", response.malformedPause}});
+    if (response.pause) {
+        const Instant time = now();
+        const Instant until = m_state.upstreamPauses.record(upstream, startUnixMs, *response.pause, time);
+        log(LogLevel::Info, "upstream-paused",
+            {{"upstream", upstream},
+             {"statedMs", static_cast<std::int64_t>(response.pause->count())},
+             {"pauseMs", std::chrono::duration<double, std::milli>(until - time).count()}});
+    }
+}
+
+std::optional<Instant> Router::pausedUntil(const UpstreamRecord &record, Instant time) const
+{
+    return m_state.upstreamPauses.pausedUntil(record.entry.id, record.entry.startUnixMs, time);
 }
 
 void Router::handleUnreachable(const std::string &upstream, bool refused)
@@ -144,7 +159,7 @@
         const UpstreamEntry entry = record->entry;
         const std::string path = healthPath(entry.service);
         // A health check takes a slot like any other request.
-        if (!acquirePermit(upstream, MaxHealthPause, 0, fiber)) {
+        if (pausedUntil(*record, now()) || !acquirePermit(upstream, MaxHealthPause, 0, fiber)) {
             sleepFor(pause, fiber);
             continue;
         }
@@ -153,7 +168,7 @@
         std::optional<HttpHead> head;
         const HealthResult result = checkHealth(*client, entry, path, head, fiber);
         if (head)
-            recordLeaving(upstream, entry.startUnixMs, m_protocol.interpret(*head, {}));
+            recordStatements(upstream, entry.startUnixMs, m_protocol.interpret(*head, {}));
         if (result == HealthResult::Answered) {
             detector.recordBytes(upstream, now());
             if (client->isIdle())
--- a/tests/platform/wiretest.cpp
+++ b/tests/platform/wiretest.cpp
@@ -169,6 +169,27 @@
     CHECK_FALSE(read({}).leaving);
 }
 
+TEST_CASE("wire: a refusal states for how long the upstream wants no requests, and anything but a number is "
+          "malformed")
+{
+    const auto read = [](int status, std::vector<HttpField> fields) {
+        return platform::protocolAdapter().interpret({status, std::move(fields), std::nullopt, true}, "a1");
+    };
+    CHECK(read(503, {{"Retry-After", " 2 "}}).pause == milliseconds(2000));
+    CHECK(read(503, {{"retry-after", "0.2501"}}).pause == milliseconds(251));
+    CHECK(read(503, {{"Retry-After", "99999999999999999999"}}).pause == milliseconds(1'000'000'000));
+    CHECK_FALSE(read(500, {{"Retry-After", "2"}}).pause);
+    CHECK_FALSE(read(503, {}).pause);
+    CHECK(read(503, {}).malformedPause.empty());
+    for (const char *value :
+         {"", "-1", "soon", "1,5", "1e3", "inf", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        CAPTURE(value);
+        CHECK_FALSE(read(503, {{"Retry-After", value}}).pause);
+        CHECK_FALSE(read(503, {{"Retry-After", value}}).malformedPause.empty());
+    }
+    CHECK_FALSE(read(503, {{"Retry-After", "1"}, {"Retry-After", "2"}}).pause);
+}
+
 TEST_CASE("wire: a request rate that is not a decimal number is told apart from one that is not given")
 {
     const auto read = [](std::vector<HttpField> fields) {
