Soak: callers take streams up at other instances, engines of two versions, upstreams that leave or want a pause

Checked: no stream has events of two software versions, each complete one is whole over all its requests, and what is refused has not run. An upstream that starts again has another start, as on the platform. Stand-in upstreams get their version at the start, so that no event lacks it.

--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -14,15 +14,22 @@
 constexpr std::uint64_t MaxMemoryBytes = 88ULL << 20;
 constexpr std::size_t MaxDescriptors = 4100;
 
-std::string completeStream()
+std::string completeStream(const std::string &version)
 {
     constexpr int Events = 6;
     std::string text;
     for (int i = 1; i <= Events; ++i)
-        text += "id: " + std::to_string(i) + "\ndata: token\n\n";
+        text += "id: " + std::to_string(i) + "\ndata: token of " + version + "\n\n";
     return text;
 }
 
+bool isWholeBody(const RequestRecord &request)
+{
+    if (request.path.starts_with("/stream"))
+        return request.body == completeStream("v1") || request.body == completeStream("v2");
+    return request.body == "body of " + request.id;
+}
+
 bool isAtMostOnce(const RequestRecord &request)
 {
     return request.path.starts_with("/booking") || request.path.starts_with("/streamonce");
@@ -40,17 +47,20 @@
     if ((request.status == 503 || request.status == 401 || request.status == 404) && runs > 0
         && isAtMostOnce(request))
         violations.push_back(describe(request) + " was reported as not run, but ran");
+    if (request.status == 503 && runs > 0 && !request.resumedId.empty())
+        violations.push_back(describe(request) + " took up a stream, was reported as not run, but ran");
     if (request.status == 200 && runs == 0)
         violations.push_back(describe(request) + " was answered, but never ran");
 }
 
 void checkBody(const RequestRecord &request, std::vector<std::string> &violations)
 {
-    if (request.status != 200)
-        return;
-    const bool isStream = request.path.starts_with("/stream");
-    if (request.body != (isStream ? completeStream() : "body of " + request.id))
-        violations.push_back(describe(request) + " got an incomplete body or the body of another request");
+    if (request.status == 200 && !isWholeBody(request))
+        violations.push_back(describe(request)
+                             + " got an incomplete body or the body of another request: " + request.body);
+    const bool hasFirst = request.body.find("of v1") != std::string::npos;
+    if (hasFirst && request.body.find("of v2") != std::string::npos)
+        violations.push_back(describe(request) + " got events of two software versions");
 }
 
 void checkKey(const RequestRecord &request, const std::vector<TimeSpan> &keyRevocations, std::size_t runs,
--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -79,6 +79,16 @@
     }
 }
 
+void FaultInjector::restart(support::Site::Upstream &upstream, int coldMs)
+{
+    upstream.process->kill();
+    m_site.startUpstream(upstream);
+    upstream.startUnixMs = unixMs();
+    m_site.publishUpstream(upstream, "ready", coldMs);
+    m_draining.erase(upstream.id);
+    m_sayingLeaving.erase(upstream.id);
+}
+
 void FaultInjector::upstreamFault()
 {
     static const std::vector<std::string> Modes{"ok", "error", "shed", "reset", "cut", "stray", "mute"};
@@ -90,13 +100,10 @@
                                                         R"({"mode":"pass","silenceOpen":true})",
                                                         R"({"mode":"pass","delayMs":150})"};
     auto &upstream = randomUpstream();
-    switch (pick(5)) {
+    switch (pick(7)) {
     case 0:
         m_history.recordFault("crash");
-        upstream.process->kill();
-        m_site.startUpstream(upstream);
-        m_site.publishUpstream(upstream, "ready", 1000);
-        m_draining.erase(upstream.id);
+        restart(upstream, 1000);
         break;
     case 1: {
         const std::string &command = ProxyCommands[pick(ProxyCommands.size())];
@@ -110,6 +117,15 @@
         support::Site::commandUpstream(upstream, R"({"rate":")" + rate + "\"}");
         break;
     }
+    case 3:
+        m_history.recordFault("leave");
+        m_sayingLeaving.insert(upstream.id);
+        support::Site::commandUpstream(upstream, R"({"leaving":true})");
+        break;
+    case 4:
+        m_history.recordFault("pause");
+        support::Site::commandUpstream(upstream, R"({"mode":"shed","retryAfter":"0.8"})");
+        break;
     default: {
         const std::string &mode = Modes[pick(Modes.size())];
         m_history.recordFault(mode);
@@ -242,7 +258,9 @@
         m_site.removeItem("op/evacuate/" + zone);
     for (std::size_t i = 0; i < m_site.upstreamCount(); ++i) {
         auto &upstream = m_site.upstreamAt(i);
-        support::Site::commandUpstream(upstream, R"({"mode":"ok","rate":""})");
+        if (m_sayingLeaving.contains(upstream.id))
+            restart(upstream, 0);
+        support::Site::commandUpstream(upstream, R"({"mode":"ok","rate":"","retryAfter":""})");
         support::Site::commandProxy(upstream, R"({"mode":"pass","delayMs":0})");
         m_site.publishUpstream(upstream, "ready");
     }
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -26,6 +26,8 @@
 private:
     void instanceFault();
     void upstreamFault();
+    /// Starts another process of an upstream under its id.
+    void restart(support::Site::Upstream &upstream, int coldMs);
     void storeFault();
     /// Returns the store to its copy, after which everything is written again.
     void restoreStore();
@@ -43,6 +45,8 @@
     std::set<std::size_t> m_leaving;
     std::set<std::string> m_zonesOut;
     std::set<std::string> m_draining;
+    /// Ids of upstreams whose process says in its responses that it leaves.
+    std::set<std::string> m_sayingLeaving;
     bool m_keyRevoked = false;
     bool m_hasCopy = false;
     /// Highest configuration version observed at each instance since its last start.
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -31,6 +31,9 @@
     /// HTTP status; 0 when no complete response arrived.
     int status = 0;
     std::string body;
+    /// Id of the attempt that received the first event of the stream that the request takes up; empty if it
+    /// takes up none.
+    std::string resumedId;
 };
 
 /// A time interval; `toMs` is empty while it lasts.
--- a/tests/soak/loadgenerator.h
+++ b/tests/soak/loadgenerator.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <random>
 #include <thread>
 #include <vector>
 
@@ -26,6 +27,8 @@
 
 private:
     void run(int caller, std::uint64_t seed);
+    /// Receives a stream, and takes it up at other instances if it breaks off.
+    void receiveStream(RequestRecord request, std::mt19937_64 &random);
 
     support::Site &m_site;
     History &m_history;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,8 @@
     for (int i = 0; i < upstreams; ++i)
         site.addUpstream((i % 2 == 0 ? "desk-" : "chat-") + std::to_string(i), i % 2 == 0 ? "desk" : "chat",
                          i % 4 < 2 ? "a" : "b", true);
+    for (int i = 1; i < upstreams; i += 2)
+        site.setSoftwareVersion(site.upstreamAt(static_cast<std::size_t>(i)), i % 4 == 1 ? "v1" : "v2");
     site.start(instances, static_cast<int>(soak::MaxKeyConfirmationAge.count()));
     if (!site.waitReady())
         return {"the site did not become ready"};
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -22,12 +22,14 @@
 /// (executes, then sends nothing); cut (breaks off a stream in the middle of an event); cut-first (the same,
 /// unless it resumes one); stray (sends a response to another request first). A request whose body contains
 /// `poison` ends the process, and so does, after the first event, a streaming request whose prompt has the
-/// shared part `dead`. Options: listen, id.
+/// shared part `dead`. Options: listen,
+/// id, version.
 class Replica
 {
 public:
     Replica(boost::asio::io_context &io, const Options &options)
         : m_id(options.at("id"))
+        , m_version(options.at("version"))
         , m_server(io, options.at("listen"), HttpLimits{},
                    [this](Exchange &exchange, const Fiber &fiber) { handle(exchange, fiber); })
     {}
@@ -178,12 +180,12 @@
     }
 
     std::string m_id;
+    std::string m_version;
     std::string m_mode = "ok";
     std::int64_t m_events = 6;
     std::int64_t m_eventMs = 10;
     std::int64_t m_workMs = 10;
     std::string m_rate;
-    std::string m_version;
     bool m_leaving = false;
     std::string m_retryAfter;
     std::map<std::string, std::int64_t> m_runs;
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -119,7 +119,8 @@
 {
     upstream.process.emplace(
         std::vector<std::string>{std::string(CHESTNUTSILL_BUILD) + "/tests/chestnutsill-standin", "replica",
-                                 "--listen", upstream.address, "--id", upstream.id},
+                                 "--listen", upstream.address, "--id", upstream.id, "--version",
+                                 upstream.namesVersion ? upstream.softwareVersion : std::string()},
         m_folder + '/' + upstream.id + ".log");
     (void)waitUntil([&] { return !readObject(upstream.address, "/stats").empty(); });
 }
@@ -145,6 +146,7 @@
 void Site::setSoftwareVersion(Upstream &upstream, const std::string &version)
 {
     upstream.softwareVersion = version;
+    upstream.namesVersion = true;
     commandUpstream(upstream, json::serialize(json::object{{"version", version}}));
     publishUpstream(upstream, "ready");
 }
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -42,6 +42,8 @@
         std::string address;
         std::string publishedAddress;
         std::string softwareVersion = "v1";
+        /// Whether it names its version in the events of its streams, also after a restart.
+        bool namesVersion = false;
         /// Start of the process as published; not published if it is 0.
         std::int64_t startUnixMs = 0;
         std::string proxyControl;
