--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -142,6 +142,9 @@
                                      const Fiber &fiber);
     void send(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
     void receive(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
+    /// Records that the head of the answer has arrived, and with status 200 that the prompt has been
+    /// prefilled.
+    void recordAnswerBegun(const RequestContext &context, UpstreamAttempt &attempt, int status);
     /// Records what a response of an upstream's process with this start says about it: that it is leaving, or
     /// that it wants no requests for a time.
     void recordStatements(const std::string &upstream, std::int64_t startUnixMs,
--- a/src/daemon/pendingreplies.h
+++ b/src/daemon/pendingreplies.h
@@ -24,7 +24,7 @@
     /// Sends a request with `send`, which is given its id and returns the number of peers that it went to,
     /// and waits for a reply that `isFinal` accepts. Returns the last reply if all peers have sent others,
     /// and nothing if not all of them reply in time. A process that was stopped meanwhile gets nothing
-    /// either.
+    /// either, because what a reply grants may have been meant for an earlier time.
     template<typename Send, typename IsFinal>
     [[nodiscard]] std::optional<Content> request(milliseconds timeout, const Send &send,
                                                  const IsFinal &isFinal, const Fiber &fiber)
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -25,7 +25,7 @@
 /// Time after the first token of a stream after which its prompt is taken not to crash upstreams, which do so
 /// when they begin to answer.
 constexpr milliseconds MinSurvivalTime{2000};
-constexpr int FirstServerError = 500;
+
 constexpr int StatusOk = 200;
 
 double toMs(Instant time)
@@ -195,18 +195,7 @@
         recordRequestRate(attempt, response, head->status);
         recordStatements(attempt.upstream, attempt.startUnixMs, response);
         if (response.outcome == UpstreamResponse::Outcome::Answer) {
-            if (!attempt.firstByteSeen) {
-                attempt.firstByteSeen = true;
-                m_state.silenceDetector.recordFirstBytes(attempt.upstream);
-                m_state.loadTable.recordPrefill(attempt.upstream, attempt.tokensToPrefill);
-                if (head->status == StatusOk)
-                    attempt.firstTokenAt = now();
-                if (head->status == StatusOk && attempt.hadNoQueue)
-                    m_state.prefillRates.record(context.serviceName, attempt.tokensToPrefill,
-                                                now() - attempt.sentAt);
-                if (head->status == StatusOk && !context.request.prompt.parts.empty())
-                    m_state.prefixCacheIndex.recordPrefill(attempt.upstream, context.request.prompt);
-            }
+            recordAnswerBegun(context, attempt, head->status);
             const HttpHead forwardedHead{head->status, std::move(response.fields), head->length,
                                          head->keepAlive, head->endsWithConnection};
             const bool isStream = context.route->kind == RouteKind::Streaming && head->status == StatusOk;
@@ -244,23 +233,18 @@
     recordFailure(attempt, AttemptResult::Broken, "responses to other requests came instead");
 }
 
-void Router::recordRequestRate(const UpstreamAttempt &attempt, const UpstreamResponse &response, int status)
+void Router::recordAnswerBegun(const RequestContext &context, UpstreamAttempt &attempt, int status)
 {
-    using Outcome = UpstreamResponse::Outcome;
-    if (response.outcome == Outcome::Stray || response.outcome == Outcome::OtherIncarnation)
+    attempt.firstByteSeen = true;
+    m_state.silenceDetector.recordFirstBytes(attempt.upstream);
+    m_state.loadTable.recordPrefill(attempt.upstream, attempt.tokensToPrefill);
+    if (status != StatusOk)
         return;
-    if (!response.malformedRate.empty()) {
-        log(LogLevel::Warning, "upstream-rate-malformed",
-            {{"upstream", attempt.upstream}, {"value", response.malformedRate}});
-    } else if (response.maxRequestRate) {
-        if (m_state.rateLimits.recordNamed(attempt.upstream, *response.maxRequestRate, now())) {
-            log(LogLevel::Info, "upstream-rate-limit",
-                {{"upstream", attempt.upstream}, {"perSecond", *response.maxRequestRate}});
-        }
-    } else if (response.outcome == Outcome::Answer && status < FirstServerError
-               && m_state.rateLimits.recordUnnamed(attempt.upstream, attempt.sentAt)) {
-        log(LogLevel::Info, "upstream-rate-limit-ended", {{"upstream", attempt.upstream}});
-    }
+    attempt.firstTokenAt = now();
+    if (attempt.hadNoQueue)
+        m_state.prefillRates.record(context.serviceName, attempt.tokensToPrefill, now() - attempt.sentAt);
+    if (!context.request.prompt.parts.empty())
+        m_state.prefixCacheIndex.recordPrefill(attempt.upstream, context.request.prompt);
 }
 
 void Router::relayResponse(RequestContext &context, UpstreamAttempt &attempt, const HttpHead &head,
@@ -326,6 +310,7 @@
         const std::string events = splitter.push(*piece);
         if (eventsBefore == 0 && splitter.eventCount() > 0 && !beginEvents(context, attempt)) {
             recordFailure(attempt, AttemptResult::Broken, "the upstream may run another software version");
+            attempt.connectionBroke = false;
             return;
         }
         if (splitter.pendingBytes().size() > EventSplitter::MaxPendingBytes) {
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -56,15 +56,21 @@
            / static_cast<double>(Steps);
 }
 
-/// When the first of the usable upstreams of a service accepts a request again that limits its rate or wants
-/// none for a time; nothing if there is none.
-std::optional<Instant> nextAcceptedAt(const RouterState &state, std::string_view service, Instant time)
+/// Whether a request may run at the software version that the entry of an upstream names.
+bool mayRunAt(const RequestContext &context, const UpstreamEntry &entry)
+{
+    return !context.streamVersion || entry.softwareVersion == *context.streamVersion;
+}
+
+/// When the first of the upstreams that a request may use accepts requests again, of those that limit their
+/// rate or want none for a time; nothing if there is none.
+std::optional<Instant> nextAcceptedAt(const RouterState &state, const RequestContext &context, Instant time)
 {
     std::optional<Instant> earliest;
-    for (const UpstreamRecord *record : state.catalog.usableUpstreams(service)) {
+    for (const UpstreamRecord *record : state.catalog.usableUpstreams(context.serviceName)) {
         const std::string &id = record->entry.id;
         const auto pauseEnd = state.upstreamPauses.pausedUntil(id, record->entry.startUnixMs, time);
-        if (!pauseEnd && !state.rateLimits.perSecond(id))
+        if (!mayRunAt(context, record->entry) || (!pauseEnd && !state.rateLimits.perSecond(id)))
             continue;
         const Instant at = std::max(state.rateLimits.nextPermitAt(id), pauseEnd.value_or(Instant{}));
         earliest = std::min(earliest.value_or(at), at);
@@ -124,11 +130,8 @@
             || (!filter.includeEjected && m_state.outlierDetector.isEjected(id, time))
             || (!filter.includeSuspected && m_state.silenceDetector.isSuspected(id)))
             continue;
-        if (context.streamVersion
-            && (record->entry.softwareVersion != *context.streamVersion
-                || !m_state.catalog.describesProcess(*record, time)))
-            continue;
-        if (pausedUntil(*record, time))
+        const bool isCertain = !context.streamVersion || m_state.catalog.describesProcess(*record, time);
+        if (!mayRunAt(context, record->entry) || !isCertain || pausedUntil(*record, time))
             continue;
         const bool isLimited = m_state.rateLimits.perSecond(id).has_value();
         if (isLimited
@@ -212,7 +215,7 @@
             m_state.coldStartLimiter.recordSend(attempt.upstream, time);
         return std::nullopt;
     }
-    if (const auto acceptedAt = nextAcceptedAt(m_state, context.serviceName, time)) {
+    if (const auto acceptedAt = nextAcceptedAt(m_state, context, time)) {
         const auto delay = std::max(std::chrono::ceil<milliseconds>(*acceptedAt - time), milliseconds(0));
         context.retryAfter = delay + retryDelay(context.deadline - time - delay, drawOf(context));
         return refuseNotRun("rate-limited", "the upstreams of the service accept no more requests now");
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -16,6 +16,9 @@
 
 namespace chestnutsill {
 
+/// Lowest HTTP status of an error of the server.
+constexpr int FirstServerError = 500;
+
 /// One attempt to serve a request at one upstream.
 struct UpstreamAttempt
 {
--- a/src/router/upstreamhealth.cpp
+++ b/src/router/upstreamhealth.cpp
@@ -56,33 +56,6 @@
 
 } // namespace
 
-void Router::recordStatements(const std::string &upstream, std::int64_t startUnixMs,
-                              const UpstreamResponse &response)
-{
-    using Outcome = UpstreamResponse::Outcome;
-    const bool isOther = !response.upstream.empty() && response.upstream != upstream;
-    if (isOther || response.outcome == Outcome::Stray || response.outcome == Outcome::OtherIncarnation)
-        return;
-    if (response.leaving && m_state.catalog.recordLeaving(upstream, startUnixMs))
-        log(LogLevel::Info, "upstream-leaving", {{"upstream", upstream}});
-    if (!response.malformedPause.empty())
-        log(LogLevel::Warning, "upstream-pause-malformed",
-            {{"upstream", upstream}, {"value", response.malformedPause}});
-    if (response.pause) {
-        const Instant time = now();
-        const Instant until = m_state.upstreamPauses.record(upstream, startUnixMs, *response.pause, time);
-        log(LogLevel::Info, "upstream-paused",
-            {{"upstream", upstream},
-             {"statedMs", static_cast<std::int64_t>(response.pause->count())},
-             {"pauseMs", std::chrono::duration<double, std::milli>(until - time).count()}});
-    }
-}
-
-std::optional<Instant> Router::pausedUntil(const UpstreamRecord &record, Instant time) const
-{
-    return m_state.upstreamPauses.pausedUntil(record.entry.id, record.entry.startUnixMs, time);
-}
-
 void Router::handleUnreachable(const std::string &upstream, bool refused)
 {
     const Instant time = now();
--- a/tests/entry/leavingtest.cpp
+++ b/tests/entry/leavingtest.cpp
@@ -2,8 +2,9 @@
 
 #include <doctest/doctest.h>
 
-#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace chestnutsill;
 using support::callTo;
@@ -63,36 +64,27 @@
     }
 }
 
-TEST_CASE("leaving: an upstream that says so in a refusal gets nothing more")
+TEST_CASE(
+    "leaving: an upstream that says so in a refusal or in the answer to a health check gets nothing more")
 {
-    Site site("leaving-refusal");
-    Site::Upstream &leaving = site.addUpstream("leaving", "desk");
-    site.addUpstream("staying", "desk");
-    site.start(1);
-    REQUIRE(site.waitReady());
-    Site::commandUpstream(leaving, R"({"leaving":true,"mode":"shed"})");
-    REQUIRE(waitUntil([&] {
-        (void)site.call(0, callTo("/plain/x", ""));
-        return Site::stat(leaving, "refused").as_int64() > 0;
-    }));
-    Site::commandUpstream(leaving, R"({"mode":"ok"})");
-    CHECK(runsFromNowOn(site, 0, "leaving", "/plain/x") == 0);
-}
-
-TEST_CASE("leaving: an upstream that says so in the answer to a health check gets nothing more")
-{
-    Site site("leaving-health");
-    Site::Upstream &leaving = site.addUpstream("leaving", "desk");
-    site.addUpstream("staying", "desk");
-    site.start(1);
-    REQUIRE(site.waitReady());
-    Site::commandUpstream(leaving, R"({"leaving":true,"mode":"mute"})");
-    REQUIRE(waitUntil([&] {
-        (void)site.call(0, callTo("/plain/x", ""));
-        return Site::stat(leaving, "healthChecks").as_int64() > 0;
-    }));
-    Site::commandUpstream(leaving, R"({"mode":"ok"})");
-    CHECK(runsFromNowOn(site, 0, "leaving", "/plain/x") == 0);
+    // The mode in which the upstream does not serve, and the count that shows that it has said so.
+    const std::vector<std::pair<std::string, std::string>> ways{{"shed", "refused"},
+                                                                {"mute", "healthChecks"}};
+    for (const auto &[mode, count] : ways) {
+        CAPTURE(mode);
+        Site site("leaving-" + mode);
+        Site::Upstream &leaving = site.addUpstream("leaving", "desk");
+        site.addUpstream("staying", "desk");
+        site.start(1);
+        REQUIRE(site.waitReady());
+        Site::commandUpstream(leaving, R"({"leaving":true,"mode":")" + mode + "\"}");
+        REQUIRE(waitUntil([&, counted = count] {
+            (void)site.call(0, callTo("/plain/x", ""));
+            return Site::stat(leaving, counted).as_int64() > 0;
+        }));
+        Site::commandUpstream(leaving, R"({"mode":"ok"})");
+        CHECK(runsFromNowOn(site, 0, "leaving", "/plain/x") == 0);
+    }
 }
 
 TEST_CASE("leaving: an upstream that starts again under its id gets requests again")
