The most urgent requests wait for the turn of a cold upstream, with a floor for the others

Cause: the limit of a cold upstream knows no tiers. Each of its two senders may send one request in some 400 ms, and the request that comes at the right moment gets the turn, which is nearly always one of the more frequent kinds. Now a request of the most urgent rank that this instance has received in the last second reserves the next turn and waits for it; others are sent only if a turn is due, but for one in four. Urgent is relative, because ranks of accounts that set none don't begin at 0. Turns keep the interval that held before, so that two disjoint views stay within the limit.

--- a/include/chestnutsill/chestnutsill.h
+++ b/include/chestnutsill/chestnutsill.h
@@ -30,6 +30,7 @@
 #include "chestnutsill/policy/pooltypes.h"
 #include "chestnutsill/policy/prefillrate.h"
 #include "chestnutsill/policy/prompt.h"
+#include "chestnutsill/policy/rankdemand.h"
 #include "chestnutsill/policy/requestid.h"
 #include "chestnutsill/policy/requestpermits.h"
 #include "chestnutsill/policy/retrybudget.h"
--- a/include/chestnutsill/policy/upstreamselection.h
+++ b/include/chestnutsill/policy/upstreamselection.h
@@ -34,6 +34,8 @@
     /// Whether it is in cold start. Only a few instances may send to it then, and it stays idle if they
     /// don't, so it is compared for every request and preferred for requests of any kind.
     bool inColdStart = false;
+    /// Time until a request may be sent to it, in milliseconds; more than 0 in cold start only.
+    double waitMs = 0;
     /// Whether it accepts a limited rate of requests, so that sending one takes a permit.
     bool rateLimited = false;
     /// Whether it is in the availability zone of this instance.
--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -12,6 +12,7 @@
 #include "chestnutsill/policy/membership.h"
 #include "chestnutsill/policy/outlierdetector.h"
 #include "chestnutsill/policy/prefillrate.h"
+#include "chestnutsill/policy/rankdemand.h"
 #include "chestnutsill/policy/requestpermits.h"
 #include "chestnutsill/policy/silencedetector.h"
 #include "chestnutsill/policy/streamorigins.h"
@@ -63,6 +64,7 @@
     DeadlineEstimator deadlineEstimator;
     WindowedRetryBudget retryBudget;
     ColdStartLimiter coldStartLimiter;
+    RankDemand rankDemand;
     UpstreamRateLimits rateLimits;
     PermitIssuer permitIssuer;
     UpstreamPauses upstreamPauses;
@@ -122,8 +124,9 @@
         bool includeSuspected = false;
         /// Whether upstreams that the outlier detector has ejected are included.
         bool includeEjected = false;
-        /// How long the request may wait for the permit of one that accepts a limited rate.
-        milliseconds permitWait{};
+        /// Whether the request may wait: for the permit of one that accepts a limited rate, or until one in
+        /// cold start accepts the next request.
+        bool mayWait = false;
     };
     /// Upstreams that a request may be sent to. Those that it would have to wait for, and suspected ones, are
     /// left out while there are others, and silent ones always. Ejected ones are used only to continue a
@@ -140,6 +143,9 @@
     /// An upstream that names no rate needs none.
     [[nodiscard]] bool acquirePermit(const std::string &upstream, milliseconds maxDelay, int rank,
                                      const Fiber &fiber);
+    /// Waits until an upstream in cold start accepts the request. Returns false if the process was stopped
+    /// meanwhile, so that the turn has passed.
+    [[nodiscard]] static bool waitUntilAccepted(const UpstreamAttempt &attempt, const Fiber &fiber);
     void send(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
     void receive(RequestContext &context, UpstreamAttempt &attempt, const Fiber &fiber);
     /// Records that the head of the answer has arrived, and with status 200 that the prompt has been
--- a/src/policy/coldstartlimiter.cpp
+++ b/src/policy/coldstartlimiter.cpp
@@ -17,26 +17,48 @@
     return ahead < static_cast<std::ptrdiff_t>(SenderCount);
 }
 
-bool ColdStartLimiter::maySend(std::string_view upstream, double perSecond, std::string_view ownName,
-                               std::span<const std::string> instances, Instant now) const
+Instant ColdStartLimiter::intervalOf(double perSecond) noexcept
 {
-    if (perSecond <= 0)
-        return false;
     // In any second a sender sends at most one request more than its rate of
     // UsedFraction * perSecond / SenderCount. Even the 2 * SenderCount senders of two disjoint views thus
     // send at most 1.5 * perSecond + 4 requests in a second. A cold upstream is overloaded and crashes at
     // 1.5 * perSecond + 5.
     constexpr double MicrosecondsPerSecond = 1e6;
-    const Instant interval(
+    return Instant(
         static_cast<Instant::rep>(MicrosecondsPerSecond * SenderCount / (UsedFraction * perSecond)));
-    const auto last = m_lastSent.find(upstream);
-    return (last == m_lastSent.end() || now - last->second >= interval)
-           && isSender(upstream, ownName, instances);
 }
 
-void ColdStartLimiter::recordSend(std::string_view upstream, Instant now)
+std::optional<Instant> ColdStartLimiter::sendAt(std::string_view upstream, double perSecond,
+                                                std::string_view ownName,
+                                                std::span<const std::string> instances,
+                                                const ColdStartRequest &request, Instant now) const
+{
+    if (perSecond <= 0)
+        return std::nullopt;
+    const auto found = m_schedules.find(upstream);
+    const Schedule schedule = found == m_schedules.end() ? Schedule{now, now} : found->second;
+    const Instant at = std::max(now, schedule.nextAt);
+    Instant maxWait{};
+    if (request.maxWait > milliseconds(0) && request.isMostUrgent)
+        maxWait = request.maxWait;
+    else if (request.maxWait > milliseconds(0) && now >= schedule.floorAt)
+        // One turn more, because the most urgent requests may have taken all until then.
+        maxWait = request.maxWait + intervalOf(perSecond);
+    if (at > now + maxWait || !isSender(upstream, ownName, instances))
+        return std::nullopt;
+    return at;
+}
+
+void ColdStartLimiter::recordSend(std::string_view upstream, double perSecond,
+                                  const ColdStartRequest &request, Instant at, Instant now)
 {
-    m_lastSent.insert_or_assign(std::string(upstream), now);
+    /// The floor of less urgent requests is this part of the rate.
+    constexpr int FloorDivisor = 4;
+    const Instant interval = intervalOf(perSecond);
+    Schedule &schedule = m_schedules[std::string(upstream)];
+    schedule.nextAt = at + interval;
+    if (!request.isMostUrgent)
+        schedule.floorAt = now + FloorDivisor * interval;
 }
 
 } // namespace chestnutsill
--- a/src/policy/upstreamselection.cpp
+++ b/src/policy/upstreamselection.cpp
@@ -145,10 +145,11 @@
     return fetchMs < tokens / timeModel.prefillTokensPerMs ? tokens : 0;
 }
 
-/// Expected wait for the requests that the upstream received before, in milliseconds.
+/// Expected wait until a request may be sent and for those that the upstream received before, in
+/// milliseconds.
 double expectedWaitMs(const UpstreamCandidate &candidate, const ServiceTimeModel &timeModel)
 {
-    const double waitMs = candidate.tokensToPrefill / timeModel.prefillTokensPerMs
+    const double waitMs = candidate.waitMs + candidate.tokensToPrefill / timeModel.prefillTokensPerMs
                           + candidate.running * timeModel.msPerRunningRequest;
     const int queued = candidate.running - candidate.slots + 1;
     return queued > 0 ? waitMs + queued * timeModel.msPerQueuedRequest : waitMs;
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -85,6 +85,8 @@
 
 /// Maximum number of upstreams that deny one attempt a permit before all that need one are left out.
 constexpr std::size_t MaxPermitRequests = 3;
+/// A turn to send, by a permit or at an upstream in cold start, is not used later than this after it was due.
+constexpr milliseconds MaxTurnLateness{100};
 /// Maximum wait for a permit if the route has no target.
 constexpr milliseconds DefaultPermitWait{100};
 /// Maximum wait for a permit to resume a stream, whose caller bears a pause of two seconds.
@@ -104,24 +106,43 @@
     return std::clamp(left / PermitWaitDivisor, milliseconds(0), longest);
 }
 
+/// Priority rank of a request. A stream that has begun goes first: without another upstream it is lost.
+int rankOf(const RequestContext &context)
+{
+    return continuesStream(context) ? 0 : engineRank(*context.table, *context.route, context.account);
+}
+
+/// How a request competes for an upstream of its service in cold start. It may wait for as long as the answer
+/// can be on time, and for the next request that this instance may send in any case.
+ColdStartRequest coldStartRequest(const RouterState &state, const RequestContext &context, Instant time)
+{
+    /// Part of the time left that a request may wait for a cold upstream.
+    constexpr int WaitDivisor = 4;
+    const Instant longest = std::max<Instant>(context.route->target,
+                                              ColdStartLimiter::intervalOf(context.service->coldPerSecond));
+    const auto left = std::max((context.deadline - time) / WaitDivisor, Instant{});
+    return {state.rankDemand.isMostUrgent(context.serviceName, rankOf(context), time),
+            std::chrono::duration_cast<milliseconds>(std::min(left, longest))};
+}
+
 } // namespace
 
 std::vector<UpstreamCandidate> Router::collectCandidates(const RequestContext &context, Instant time) const
 {
-    const milliseconds permitWait = maxPermitWait(context, time);
     auto candidates = collectCandidates(context, time, {});
-    if (candidates.empty() && !m_state.rateLimits.empty())
-        candidates = collectCandidates(context, time, {.permitWait = permitWait});
+    if (candidates.empty())
+        candidates = collectCandidates(context, time, {.mayWait = true});
     if (candidates.empty())
         candidates = collectCandidates(
             context, time,
-            {.includeSuspected = true, .includeEjected = continuesStream(context), .permitWait = permitWait});
+            {.includeSuspected = true, .includeEjected = continuesStream(context), .mayWait = true});
     return candidates;
 }
 
 std::vector<UpstreamCandidate> Router::collectCandidates(const RequestContext &context, Instant time,
                                                          const CandidateFilter &filter) const
 {
+    const milliseconds permitWait = filter.mayWait ? maxPermitWait(context, time) : milliseconds(0);
     std::vector<UpstreamCandidate> found;
     std::vector<std::string> instances;
     for (const UpstreamRecord *record : m_state.catalog.usableUpstreams(context.serviceName)) {
@@ -136,15 +157,21 @@
         const bool isLimited = m_state.rateLimits.perSecond(id).has_value();
         if (isLimited
             && (contains(context.deniedUpstreams, id) || context.deniedUpstreams.size() >= MaxPermitRequests
-                || m_state.rateLimits.nextPermitAt(id) > time + filter.permitWait))
+                || m_state.rateLimits.nextPermitAt(id) > time + permitWait))
             continue;
         const bool isCold = isInColdStart(context, *record, time);
+        Instant acceptedAt = time;
         if (isCold) {
             if (instances.empty())
                 instances = liveInstances(m_state, m_settings.instance, time);
-            if (!m_state.coldStartLimiter.maySend(id, context.service->coldPerSecond, m_settings.instance,
-                                                  instances, time))
+            ColdStartRequest request = coldStartRequest(m_state, context, time);
+            if (!filter.mayWait)
+                request.maxWait = milliseconds(0);
+            const auto at = m_state.coldStartLimiter.sendAt(id, context.service->coldPerSecond,
+                                                            m_settings.instance, instances, request, time);
+            if (!at)
                 continue;
+            acceptedAt = *at;
         }
         const Load load = m_state.loadTable.total(id, time);
         const CachedTokens cachedTokens = m_state.prefixCacheIndex.lookup(id, context.request.prompt);
@@ -156,6 +183,7 @@
                          .prefilledTokens = cachedTokens.prefilled,
                          .failureRate = m_state.outlierDetector.failureRate(id, time),
                          .inColdStart = isCold,
+                         .waitMs = std::chrono::duration<double, std::milli>(acceptedAt - time).count(),
                          .rateLimited = isLimited,
                          .sameZone = record->entry.zone == m_settings.zone});
     }
@@ -183,6 +211,7 @@
     if (time >= context.deadline)
         return refuseNotRun("deadline", "the deadline of the request has passed");
     m_state.catalog.removeExpired(time);
+    m_state.rankDemand.record(context.serviceName, rankOf(context), time);
     auto candidates = collectCandidates(context, time);
     const bool canGoElsewhere = std::any_of(candidates.begin(), candidates.end(),
                                             [](const auto &candidate) { return !candidate.rateLimited; });
@@ -211,8 +240,14 @@
         if (selection->source)
             attempt.fetchFrom = m_state.catalog.find(candidates[*selection->source].upstream)->entry.address;
         // The limiter allowed this when the candidates were collected, and its state hasn't changed since.
-        if (isInColdStart(context, record, time))
-            m_state.coldStartLimiter.recordSend(attempt.upstream, time);
+        if (candidate.inColdStart) {
+            attempt.acceptedAt =
+                time
+                + std::chrono::ceil<Instant>(std::chrono::duration<double, std::milli>(candidate.waitMs));
+            m_state.coldStartLimiter.recordSend(attempt.upstream, context.service->coldPerSecond,
+                                                coldStartRequest(m_state, context, time), attempt.acceptedAt,
+                                                time);
+        }
         return std::nullopt;
     }
     if (const auto acceptedAt = nextAcceptedAt(m_state, context, time)) {
@@ -226,26 +261,32 @@
 std::optional<Answer> Router::choosePermittedUpstream(RequestContext &context, UpstreamAttempt &attempt,
                                                       const Fiber &fiber)
 {
-    // A stream that has begun goes first: without another upstream it is lost.
-    const int rank =
-        continuesStream(context) ? 0 : engineRank(*context.table, *context.route, context.account);
     context.deniedUpstreams.clear();
     for (;;) {
         if (auto refused = chooseUpstream(context, attempt))
             return refused;
-        if (acquirePermit(attempt.upstream, context.permitWait, rank, fiber))
+        if (!acquirePermit(attempt.upstream, context.permitWait, rankOf(context), fiber))
+            context.deniedUpstreams.push_back(attempt.upstream);
+        else if (waitUntilAccepted(attempt, fiber))
             return std::nullopt;
-        context.deniedUpstreams.push_back(attempt.upstream);
         attempt = UpstreamAttempt{};
     }
 }
 
+bool Router::waitUntilAccepted(const UpstreamAttempt &attempt, const Fiber &fiber)
+{
+    if (attempt.acceptedAt == Instant{})
+        return true;
+    const auto delay = std::chrono::ceil<milliseconds>(attempt.acceptedAt - now());
+    if (delay > milliseconds(0))
+        sleepFor(delay, fiber);
+    return now() - attempt.acceptedAt <= MaxTurnLateness;
+}
+
 bool Router::acquirePermit(const std::string &upstream, milliseconds maxDelay, int rank, const Fiber &fiber)
 {
     /// Time until an issuer that did not reply is asked again.
     constexpr milliseconds NoReplyDelay{200};
-    /// A permit is not used later than this after it was due.
-    constexpr milliseconds MaxLateness{100};
     const Instant start = now();
     const auto rate = m_state.rateLimits.perSecond(upstream);
     if (!rate)
@@ -262,7 +303,7 @@
     }
     if (permit.delay > milliseconds(0))
         sleepFor(permit.delay, fiber);
-    return now() - start <= permit.delay + MaxLateness;
+    return now() - start <= permit.delay + MaxTurnLateness;
 }
 
 } // namespace chestnutsill
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -27,6 +27,8 @@
     /// Version of the upstream's software and the start of its process, as published when it was selected.
     std::string softwareVersion;
     std::int64_t startUnixMs = 0;
+    /// When it accepts the request, if it is in cold start.
+    Instant acceptedAt{};
     /// Whether that version was known for certain to run when sending began.
     bool versionIsCertain = false;
     /// Prompt tokens that the upstream is expected to prefill.
--- a/tests/policy/limitstest.cpp
+++ b/tests/policy/limitstest.cpp
@@ -1,4 +1,5 @@
 #include "chestnutsill/policy/coldstartlimiter.h"
+#include "chestnutsill/policy/rankdemand.h"
 #include "chestnutsill/policy/windowedretrybudget.h"
 
 #include <doctest/doctest.h>
@@ -41,11 +42,13 @@
 
 /// Sends a request to a cold upstream if the limiter allows it. Returns whether it does.
 bool trySend(ColdStartLimiter &limiter, std::string_view upstream, double perSecond, std::string_view ownName,
-             std::span<const std::string> instances, Instant now)
+             std::span<const std::string> instances, Instant now, bool isMostUrgent = true)
 {
-    if (!limiter.maySend(upstream, perSecond, ownName, instances, now))
+    const ColdStartRequest request{.isMostUrgent = isMostUrgent, .maxWait = milliseconds(0)};
+    const auto at = limiter.sendAt(upstream, perSecond, ownName, instances, request, now);
+    if (!at)
         return false;
-    limiter.recordSend(upstream, now);
+    limiter.recordSend(upstream, perSecond, request, *at, now);
     return true;
 }
 
@@ -91,6 +94,72 @@
     CHECK_FALSE(trySend(limiter, "u1", 0, "me", names(0, 1), seconds(1)));
 }
 
+TEST_CASE("cold start: the most urgent requests get their turn although others ask all the time")
+{
+    ColdStartLimiter limiter;
+    const auto view = names(0, 1);
+    const ColdStartRequest urgent{.isMostUrgent = true, .maxWait = milliseconds(1000)};
+    std::vector<Instant> sent;
+    int urgentRefused = 0;
+    int lessUrgentSent = 0;
+    for (Instant time = seconds(1); time < seconds(11); time += milliseconds(5)) {
+        if (trySend(limiter, "u1", ColdPerSecond, view.front(), view, time, false)) {
+            sent.push_back(time);
+            ++lessUrgentSent;
+        }
+        if (time.count() % Instant(seconds(1)).count() != 0)
+            continue;
+        if (const auto at = limiter.sendAt("u1", ColdPerSecond, view.front(), view, urgent, time)) {
+            limiter.recordSend("u1", ColdPerSecond, urgent, *at, time);
+            sent.push_back(*at);
+        } else {
+            ++urgentRefused;
+        }
+    }
+    CHECK(urgentRefused == 0);
+    CHECK(lessUrgentSent > 0);
+    CHECK(static_cast<double>(busiestSecond(sent)) <= MaxColdPerSecond);
+}
+
+TEST_CASE("cold start: less urgent requests get a quarter of the rate although the most urgent ones wait")
+{
+    ColdStartLimiter limiter;
+    const auto view = names(0, 1);
+    const ColdStartRequest urgent{.isMostUrgent = true, .maxWait = milliseconds(1000)};
+    const ColdStartRequest lessUrgent{.isMostUrgent = false, .maxWait = milliseconds(1000)};
+    std::vector<Instant> sent;
+    int lessUrgentSent = 0;
+    for (Instant time = seconds(1); time < seconds(11); time += milliseconds(5)) {
+        for (const ColdStartRequest &request : {urgent, lessUrgent}) {
+            const auto at = limiter.sendAt("u1", ColdPerSecond, view.front(), view, request, time);
+            if (!at)
+                continue;
+            limiter.recordSend("u1", ColdPerSecond, request, *at, time);
+            sent.push_back(*at);
+            lessUrgentSent += request.isMostUrgent ? 0 : 1;
+        }
+    }
+    CHECK(5 * lessUrgentSent >= static_cast<int>(sent.size()));
+    CHECK(3 * lessUrgentSent <= static_cast<int>(sent.size()));
+    CHECK(static_cast<double>(busiestSecond(sent)) <= MaxColdPerSecond);
+}
+
+TEST_CASE("rank demand: a rank is the most urgent one while no request of a more urgent rank arrives")
+{
+    RankDemand demand;
+    CHECK(demand.isMostUrgent("chat", 4, seconds(1)));
+    demand.record("chat", 3, seconds(1));
+    demand.record("chat", 4, seconds(1));
+    CHECK(demand.isMostUrgent("chat", 3, seconds(1)));
+    CHECK_FALSE(demand.isMostUrgent("chat", 4, seconds(1)));
+    CHECK(demand.isMostUrgent("desk", 4, seconds(1)));
+    CHECK(demand.isMostUrgent("chat", 4, seconds(1) + RankDemand::Memory + milliseconds(1)));
+    demand.record("chat", -5, seconds(9));
+    demand.record("chat", 50, seconds(9));
+    CHECK(demand.isMostUrgent("chat", 0, seconds(9)));
+    CHECK_FALSE(demand.isMostUrgent("chat", 1, seconds(9)));
+}
+
 TEST_CASE("retry budget: all instances together stay within the limit in every window")
 {
     const RetryLimits limits{0.2, 56, seconds(10)};
