A stream that goes on does not make other requests less urgent for cold upstreams

Found when reading the change again: it counts as the most urgent rank for itself, and recorded as such it took the wait for a turn from the most urgent routes for a second. The demand now has the rank of the route and account.

--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -211,7 +211,8 @@
     if (time >= context.deadline)
         return refuseNotRun("deadline", "the deadline of the request has passed");
     m_state.catalog.removeExpired(time);
-    m_state.rankDemand.record(context.serviceName, rankOf(context), time);
+    m_state.rankDemand.record(context.serviceName,
+                              engineRank(*context.table, *context.route, context.account), time);
     auto candidates = collectCandidates(context, time);
     const bool canGoElsewhere = std::any_of(candidates.begin(), candidates.end(),
                                             [](const auto &candidate) { return !candidate.rateLimited; });
