Versions of entries are not certain over connections opened long after the last confirmation

Callers could get streams of two versions through an instance that was stopped, while an engine started again under its id with another version: woken, it connects to the new process and takes the entry that it last read for the truth, until it has read the store again or noticed the outage.

Now an entry describes the process at the other end of a connection only if the connection was opened no later than 3 s after the entries were last confirmed. An instance that follows the store confirms them more often.

policy "catalog: a connection that is opened long after" fails without the check and passes.

--- a/include/chestnutsill/policy/catalog.h
+++ b/include/chestnutsill/policy/catalog.h
@@ -80,6 +80,9 @@
     /// Time after which an upstream that may have been restarted would have published its new entry.
     static constexpr milliseconds DoubtTime{5000};
 
+    /// Longest time between two confirmations of an instance that follows the store.
+    static constexpr milliseconds MaxConfirmationGap{3000};
+
     /// Puts a routing table into force if it is not null and its version is higher than that of the current
     /// one. Returns whether it did.
     bool applyTable(std::shared_ptr<const RoutingTable> table);
@@ -125,6 +128,9 @@
     /// The software version that now runs is not known for certain.
     void recordPeerCrash(std::uint64_t incarnationKey, Instant at);
 
+    /// Records that the entries were those of the store at an instant.
+    void recordConfirmed(Instant at) noexcept { m_confirmedAt = std::max(m_confirmedAt, at); }
+
     /// Records that the store has been unreachable since `lastAnswerAt`.
     void recordStoreLost(Instant lastAnswerAt) noexcept;
 
@@ -165,7 +171,8 @@
     [[nodiscard]] bool describesProcess(const UpstreamRecord &record, Instant now) const;
 
     /// The same for the process at the other end of a connection that was opened at an instant. An outage of
-    /// the store before that may hide the entry of a new process.
+    /// the store before that may hide the entry of a new process, and so may a time without confirmations
+    /// that has not been noticed as an outage yet, for example because this process was stopped.
     [[nodiscard]] bool describesProcess(const UpstreamRecord &record, Instant connectedAt, Instant now) const;
 
     /// Whether the store is unreachable.
@@ -203,6 +210,7 @@
     std::uint64_t m_era = 0;
     /// Zones that are put back at an instant.
     std::map<std::string, Instant, std::less<>> m_zoneReturns;
+    Instant m_confirmedAt{};
     bool m_storeLost = false;
     Instant m_storeLostSince{};
     Instant m_removalsDelayedUntil{};
--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -164,7 +164,7 @@
     else
         applyChanges(answer->items, answer->revision);
     if (confirmedAt) {
-        m_confirmedAt = std::max(m_confirmedAt, *confirmedAt);
+        recordConfirmed(*confirmedAt);
         confirmTable(*confirmedAt);
     }
     if (fresh) {
@@ -229,9 +229,15 @@
     return m_isFollowing ? std::chrono::duration_cast<milliseconds>(now - m_followingSince) : milliseconds(0);
 }
 
+void StoreWatcher::recordConfirmed(Instant at)
+{
+    m_confirmedAt = std::max(m_confirmedAt, at);
+    m_state.catalog.recordConfirmed(at);
+}
+
 void StoreWatcher::recordSuccess(Instant confirmedAt)
 {
-    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+    recordConfirmed(confirmedAt);
     if (m_isFollowing)
         return;
     m_isFollowing = true;
--- a/src/daemon/storewatcher.h
+++ b/src/daemon/storewatcher.h
@@ -88,6 +88,8 @@
     void recordFailure(bool hasUsablePeer);
     /// Records that no source confirms the local copy any more.
     void recordOutage(const std::string &reason);
+    /// Records that the entries were those of the store at an instant.
+    void recordConfirmed(Instant at);
     void recordSuccess(Instant confirmedAt);
     [[nodiscard]] milliseconds retryPause(const FeedCandidates &candidates);
 
--- a/src/policy/catalog.cpp
+++ b/src/policy/catalog.cpp
@@ -144,7 +144,8 @@
 bool Catalog::describesProcess(const UpstreamRecord &record, Instant connectedAt, Instant now) const
 {
     const bool mayLackEntries = m_storeLost || now < m_removalsDelayedUntil;
-    return describesProcess(record, now) && !(mayLackEntries && connectedAt > m_storeLostSince);
+    return describesProcess(record, now) && !(mayLackEntries && connectedAt > m_storeLostSince)
+           && connectedAt <= m_confirmedAt + MaxConfirmationGap;
 }
 
 void Catalog::recordStoreLost(Instant lastAnswerAt) noexcept
--- a/tests/policy/catalogtest.cpp
+++ b/tests/policy/catalogtest.cpp
@@ -327,9 +327,27 @@
     CHECK_FALSE(catalog.describesProcess(record, seconds(4), seconds(9)));
     catalog.recordStoreRegained(seconds(10));
     CHECK_FALSE(catalog.describesProcess(record, seconds(4), seconds(10)));
+    CHECK_FALSE(catalog.describesProcess(record, seconds(4), seconds(10) + Catalog::RemovalDelay));
+    catalog.recordConfirmed(seconds(10));
     CHECK(catalog.describesProcess(record, seconds(4), seconds(10) + Catalog::RemovalDelay));
 }
 
+TEST_CASE("catalog: a connection that is opened long after the last confirmation may lead to another process")
+{
+    Catalog catalog;
+    catalog.applyTable(table(1));
+    catalog.updateUpstream(entry("u1"), {1, 1}, seconds(1));
+    catalog.recordConfirmed(seconds(1));
+    const UpstreamRecord &record = *catalog.find("u1");
+    const Instant last = seconds(1) + Catalog::MaxConfirmationGap;
+    CHECK(catalog.describesProcess(record, last, last));
+    // The process was stopped for 20 s and has read nothing yet.
+    CHECK_FALSE(catalog.describesProcess(record, seconds(21), seconds(21)));
+    CHECK(catalog.describesProcess(record, last, seconds(21)));
+    catalog.recordConfirmed(seconds(21));
+    CHECK(catalog.describesProcess(record, seconds(21), seconds(22)));
+}
+
 TEST_CASE("catalog: a crash that a peer reports leaves the process uncertain unless its successor is known")
 {
     Catalog catalog;
