Soak: kept connections, engines that start again with another version, all instances killed, refused take-ups that come again

Callers keep their connections open until the instance is gone, as the tests of a stop ask for. An engine that crashes starts again under its id with the other version half of the time, its entry written first. All instances are killed at once now and then. A caller whose take-up is refused comes again, four times at most. The summary counts the streams that were taken up and those that reached their end.

--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -56,7 +56,10 @@
     auto &process = m_site.instances()[index].process;
     if (m_leaving.contains(index) || m_paused.contains(index))
         return;
-    switch (pick(4)) {
+    switch (pick(5)) {
+    case 4:
+        killAll();
+        break;
     case 0:
         m_history.recordFault("kill");
         process->kill();
@@ -79,12 +82,26 @@
     }
 }
 
+void FaultInjector::killAll()
+{
+    m_history.recordFault("kill-all");
+    for (auto &instance : m_site.instances())
+        instance.process->kill();
+    m_paused.clear();
+    m_leaving.clear();
+    m_versions.clear();
+    for (std::size_t i = 0; i < m_site.instances().size(); ++i)
+        m_site.startInstance(i);
+}
+
 void FaultInjector::restart(support::Site::Upstream &upstream, int coldMs)
 {
     upstream.process->kill();
-    m_site.startUpstream(upstream);
     upstream.startUnixMs = unixMs();
+    if (upstream.namesVersion && pick(2) == 0)
+        upstream.softwareVersion = upstream.softwareVersion == "v1" ? "v2" : "v1";
     m_site.publishUpstream(upstream, "ready", coldMs);
+    m_site.startUpstream(upstream);
     m_draining.erase(upstream.id);
     m_sayingLeaving.erase(upstream.id);
 }
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -25,8 +25,10 @@
 
 private:
     void instanceFault();
+    void killAll();
     void upstreamFault();
-    /// Starts another process of an upstream under its id.
+    /// Starts another process of an upstream under its id, of an engine with another software version at
+    /// times.
     void restart(support::Site::Upstream &upstream, int coldMs);
     void storeFault();
     /// Returns the store to its copy, after which everything is written again.
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -101,10 +101,16 @@
     {
         const std::lock_guard lock(m_mutex);
         std::size_t answered = 0;
-        for (const RequestRecord &request : m_requests)
+        std::size_t takenUp = 0;
+        std::size_t wentOn = 0;
+        for (const RequestRecord &request : m_requests) {
             answered += request.status == 200 ? 1 : 0;
-        std::string text =
-            std::to_string(m_requests.size()) + " requests, " + std::to_string(answered) + " answered;";
+            takenUp += request.resumedId.empty() ? 0 : 1;
+            wentOn += !request.resumedId.empty() && request.status == 200 ? 1 : 0;
+        }
+        std::string text = std::to_string(m_requests.size()) + " requests, " + std::to_string(answered)
+                           + " answered, of " + std::to_string(takenUp) + " that took a stream up "
+                           + std::to_string(wentOn) + " to its end;";
         for (const auto &[fault, count] : m_faults)
             text += ' ' + fault + ' ' + std::to_string(count);
         return text;
--- a/tests/soak/loadgenerator.cpp
+++ b/tests/soak/loadgenerator.cpp
@@ -1,8 +1,10 @@
 #include "loadgenerator.h"
 
+#include "keptconnection.h"
 #include "rawcaller.h"
 
 #include <array>
+#include <map>
 #include <sstream>
 #include <utility>
 
@@ -17,7 +19,9 @@
 constexpr std::array<const char *, 5> Paths{"/plain/x", "/booking/x", ResumablePath, "/streamonce/stream/x",
                                             "/open/x"};
 /// Requests with which a caller takes up one stream at most.
-constexpr int MaxTakeUps = 3;
+constexpr int MaxTakeUps = 4;
+/// Pause before a stream is taken up again that was refused.
+constexpr std::chrono::milliseconds RefusedPause{150};
 
 /// The whole events in an answer, without the chunks around them, each of which holds whole events.
 std::string eventsOf(const std::string &bytes)
@@ -69,6 +73,7 @@
 void LoadGenerator::run(int caller, std::uint64_t seed)
 {
     std::mt19937_64 random(seed * Callers + static_cast<std::uint64_t>(caller));
+    std::map<std::size_t, support::KeptConnection> connections;
     for (int number = 0; !m_stopped; ++number) {
         RequestRecord request;
         request.id = "c" + std::to_string(caller) + '-' + std::to_string(number);
@@ -78,13 +83,15 @@
             receiveStream(std::move(request), random);
             continue;
         }
-        support::SiteCall call = support::callTo(request.path, request.id);
-        call.key = request.key;
-        call.fields = {{"X-Deadline-Ms", "3000"}};
-        call.timeout = CallTimeout;
+        const std::array<HttpField, 4> fields{{{"Host", "site.example"},
+                                               {"X-Attempt-Id", request.id},
+                                               {"Authorization", "Bearer " + request.key},
+                                               {"X-Deadline-Ms", "3000"}}};
         const std::size_t instance = random() % m_site.instances().size();
+        auto &connection =
+            connections.try_emplace(instance, m_site.address(instance, m_site.callerPort())).first->second;
         request.sentMs = unixMs();
-        if (const auto answer = m_site.call(instance, call)) {
+        if (const auto answer = connection.call({"POST", request.path, fields, "{}"}, CallTimeout)) {
             request.status = answer->head.status;
             request.body = answer->body;
         }
@@ -116,9 +123,11 @@
         request.status = isComplete ? status : 0;
         request.body = events;
         m_history.add(request);
-        const bool goesOn = !events.empty() && !isComplete;
-        if (!goesOn || takeUps == MaxTakeUps || m_stopped)
+        const bool isRefused = isComplete && status != 200;
+        if (events.empty() || (isComplete && !isRefused) || takeUps == MaxTakeUps || m_stopped)
             return;
+        if (isRefused)
+            std::this_thread::sleep_for(RefusedPause);
         request.id = first + "-again-" + std::to_string(takeUps);
     }
 }
--- a/tests/soak/loadgenerator.h
+++ b/tests/soak/loadgenerator.h
@@ -11,8 +11,8 @@
 
 namespace chestnutsill::soak {
 
-/// Threads that act as callers and send requests of all kinds to all instances, including leaving ones, until
-/// `stop`.
+/// Threads that act as callers and send requests of all kinds to all instances, including leaving ones, over
+/// connections that they keep open, until `stop`.
 class LoadGenerator
 {
 public:
@@ -27,7 +27,7 @@
 
 private:
     void run(int caller, std::uint64_t seed);
-    /// Receives a stream, and takes it up at other instances if it breaks off.
+    /// Receives a stream, and takes it up at other instances if it breaks off or is refused there.
     void receiveStream(RequestRecord request, std::mt19937_64 &random);
 
     support::Site &m_site;
