--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -57,9 +57,6 @@
     if (m_leaving.contains(index) || m_paused.contains(index))
         return;
     switch (pick(5)) {
-    case 4:
-        killAll();
-        break;
     case 0:
         m_history.recordFault("kill");
         process->kill();
@@ -76,6 +73,9 @@
         process->signal(SIGTERM);
         m_leaving.insert(index);
         break;
+    case 3:
+        killAll();
+        break;
     default:
         m_history.recordFault("hup");
         process->signal(SIGHUP);
