--- a/review/support/site.h
+++ b/review/support/site.h
@@ -250,9 +250,9 @@
 public:
     using Answer = std::function<bool(const Replica &self, const Message &request, const Socket &socket)>;
 
-    Replica(std::string id, Record &record, Answer answer)
+    Replica(std::string id, Record &record, Answer answer, const std::string &address = {})
         : m_id(std::move(id))
-        , m_address("127.0.0.1:" + std::to_string(freePort("127.0.0.1")))
+        , m_address(address.empty() ? "127.0.0.1:" + std::to_string(freePort("127.0.0.1")) : address)
         , m_record(record)
         , m_answer(std::move(answer))
     {
@@ -267,13 +267,20 @@
                + "\r\nKeep-Alive: timeout=5\r\n";
     }
 
-    [[nodiscard]] std::string entry(const std::string &service, int slots) const
+    /// The entry of a replica in the store.
+    [[nodiscard]] static std::string entryOf(const std::string &address, const std::string &service,
+                                             int slots)
     {
-        return R"({"service":")" + service + R"(","address":")" + m_address
+        return R"({"service":")" + service + R"(","address":")" + address
                + R"(","zone":"a","version":"v1","slots":)" + std::to_string(slots)
                + R"(,"state":"ready","cold_remaining_ms":0,"sequence":1})";
     }
 
+    [[nodiscard]] std::string entry(const std::string &service, int slots) const
+    {
+        return entryOf(m_address, service, slots);
+    }
+
     [[nodiscard]] const std::string &id() const { return m_id; }
 
     /// How often it has run an attempt.
