--- a/review/support/site.h
+++ b/review/support/site.h
@@ -267,13 +267,14 @@
                + "\r\nKeep-Alive: timeout=5\r\n";
     }
 
-    /// The entry of a replica in the store.
+    /// The entry in the store of a replica that starts now.
     [[nodiscard]] static std::string entryOf(const std::string &address, const std::string &service,
                                              int slots)
     {
         return R"({"service":")" + service + R"(","address":")" + address
                + R"(","zone":"a","version":"v1","slots":)" + std::to_string(slots)
-               + R"(,"state":"ready","cold_remaining_ms":0,"sequence":1})";
+               + R"(,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":)" + std::to_string(unixMs())
+               + '}';
     }
 
     [[nodiscard]] std::string entry(const std::string &service, int slots) const
