--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -2,6 +2,8 @@
 // with the ones that they have, and start streams of a few seconds.
 #include "../support/site.h"
 
+#include <algorithm>
+
 using namespace review;
 
 namespace {
@@ -103,7 +105,6 @@
         known.push_back(std::move(*addresses));
     }
     const auto start = Clock::now();
-    std::vector<std::atomic<bool>> hasStopped(InstanceCount);
     std::atomic<int> whole = 0;
     std::atomic<int> refused = 0;
     std::atomic<int> excused = 0;
@@ -148,26 +149,32 @@
                 ++lost;
         });
     }
-    std::vector<std::thread> operators;
-    for (std::size_t i = 0; hasTrouble() && i < InstanceCount; ++i) {
-        operators.emplace_back([&, i] {
+    // Instances end with the thread that started them, so that all are stopped and started by this one.
+    std::vector<bool> isSignalled(InstanceCount, !hasTrouble());
+    std::vector<bool> isStartedAgain(InstanceCount, !hasTrouble());
+    while (std::find(isStartedAgain.begin(), isStartedAgain.end(), false) != isStartedAgain.end()) {
+        for (std::size_t i = 0; i < InstanceCount; ++i) {
             const auto at = start + i * StopPeriod;
-            std::this_thread::sleep_until(at);
-            instances.signal(i, SIGTERM);
-            record.add("SIGTERM to instance " + std::to_string(i + 1));
-            while (Clock::now() < at + GraceTime && !instances.hasEnded(i))
-                std::this_thread::sleep_for(milliseconds(10));
+            if (!isSignalled[i] && Clock::now() >= at) {
+                instances.signal(i, SIGTERM);
+                record.add("SIGTERM to instance " + std::to_string(i + 1));
+                isSignalled[i] = true;
+            }
+            if (!isSignalled[i] || isStartedAgain[i])
+                continue;
+            const bool hasEnded = instances.hasEnded(i);
+            if (!hasEnded && Clock::now() < at + GraceTime)
+                continue;
             record.add("instance " + std::to_string(i + 1)
-                       + (instances.hasEnded(i) ? " has ended by itself" : " gets SIGKILL")
-                       + " and starts again");
+                       + (hasEnded ? " has ended by itself" : " gets SIGKILL") + " and starts again");
             instances.kill(i);
             instances.start(i);
-        });
+            isStartedAgain[i] = true;
+        }
+        std::this_thread::sleep_for(milliseconds(2));
     }
     for (std::thread &client : clients)
         client.join();
-    for (std::thread &item : operators)
-        item.join();
     const std::string result = "whole " + std::to_string(whole) + ", refused " + std::to_string(refused)
                                + ", cut and excused " + std::to_string(excused) + ", cut and not excused "
                                + std::to_string(lost);
