--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,6 +1,6 @@
 // Three instances are stopped in turn, one second apart. Clients that can't learn of other addresses go on
 // with the ones that they have, and start streams of a few seconds.
-#include "../support/site.h"
+#include "../site.h"
 
 #include <algorithm>
 
