Stop: one log line for each request that the end of the process cuts

The logs of a stopped instance named only the requests that had failed before, and how many were cut. A request that ended with the process was in no line, so that its age, its progress and the silence of its upstream could not be told apart as causes.

`request-in-progress` has the id, route, phase, age, time left, bytes and events that the caller has, the upstream and its silence, for each request in hand when the process ends.

--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -116,6 +116,11 @@
     /// other instance. The response tells the peer the verdict.
     void handleHandedOver(Exchange &exchange, const Fiber &fiber);
 
+    /// Logs each request in progress with how far it has come: `read`, `queued`, `sent`, `begun` or
+    /// `relayed`.
+    ///     /// A request whose line is the last one about it was ended by the process.
+    void logRequestsInProgress() const;
+
     /// Whether the table was confirmed recently enough for API keys to be accepted.
     [[nodiscard]] bool isKeyFresh() const;
 
@@ -125,6 +130,7 @@
 
 private:
     void serve(RequestContext &context, const Fiber &fiber);
+    void logInProgress(const RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> resolveRoute(RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> authorize(RequestContext &context) const;
     /// Finds out, for a request that takes up a stream, at which service and software version it may go on.
@@ -270,6 +276,7 @@
     };
     /// By upstream.
     std::multimap<std::string, AttemptInProgress, std::less<>> m_attemptsInProgress;
+    std::set<RequestContext *> m_requestsInProgress;
 };
 
 } // namespace chestnutsill
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -363,6 +363,7 @@
         const Instant end = start + fractionOf(m_settings.platformLimits.terminationGrace, StopFraction);
         while (m_callerServer.activeRequests() + m_handedOverRequests > 0 && now() < end)
             sleepFor(DrainPollInterval, fiber);
+        m_router.logRequestsInProgress();
         log(LogLevel::Info, "stopped",
             {{"cut", static_cast<std::int64_t>(m_callerServer.activeRequests() + m_handedOverRequests)}});
         m_io.stop();
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -307,7 +307,7 @@
             context.status = head.status;
             context.exchange.startRelay(head.status, head.fields, head.length, fiber);
         }
-        context.exchange.sendPiece(body, fiber);
+        relayPiece(context, body, fiber);
         body.clear();
     }
     attempt.verdict = Verdict::Answered;
@@ -324,7 +324,7 @@
         context.firstByteAt = now();
         context.exchange.startRelay(head.status, head.fields, body.size(), fiber);
     }
-    context.exchange.sendPiece(body, fiber);
+    relayPiece(context, body, fiber);
     context.responseEnded = context.exchange.endStream(fiber);
     if (!context.responseEnded)
         context.callerGone = true;
@@ -364,7 +364,7 @@
             context.exchange.startRelay(head.status, head.fields,
                                         context.route->resumable ? std::nullopt : head.length, fiber);
         }
-        if (!context.exchange.sendPiece(events, fiber)) {
+        if (!relayPiece(context, events, fiber)) {
             context.callerGone = true;
             recordFailure(attempt, AttemptResult::Served, "the caller has gone");
             return;
--- a/src/router/handover.cpp
+++ b/src/router/handover.cpp
@@ -245,7 +245,7 @@
             return false;
         if (piece->empty())
             break;
-        if (!context.exchange.sendPiece(*piece, fiber)) {
+        if (!relayPiece(context, *piece, fiber)) {
             context.callerGone = true;
             return false;
         }
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -8,6 +8,7 @@
 #include "chestnutsill/router/callerrequest.h"
 #include "chestnutsill/router/eventsplitter.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -115,6 +116,8 @@
     int possibleRuns = 0;
     /// Whether sending a response of an upstream to the caller has begun.
     bool responseStarted = false;
+    /// Bytes of the response's body that were sent to the caller.
+    std::uint64_t relayedBytes = 0;
     /// Whether the complete response was sent.
     bool responseEnded = false;
     int status = 0;
@@ -137,6 +140,13 @@
     context.service = service == context.table->services.end() ? nullptr : &service->second;
 }
 
+/// Sends a piece of the response to the caller.
+inline bool relayPiece(RequestContext &context, std::string_view piece, const Fiber &fiber)
+{
+    context.relayedBytes += piece.size();
+    return context.exchange.sendPiece(piece, fiber);
+}
+
 /// Whether the caller takes up a stream of which it has events.
 [[nodiscard]] inline bool takesUpStream(const RequestContext &context)
 {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -99,6 +99,7 @@
         if (context.activeClient != nullptr)
             context.activeClient->reset();
     });
+    m_requestsInProgress.insert(&context);
     auto answer = resolveRoute(context);
     if (!answer)
         answer = authorize(context);
@@ -112,6 +113,7 @@
         else
             respond(context, *answer, fiber);
     }
+    m_requestsInProgress.erase(&context);
     recordOutcome(context, answer);
 }
 
