Planned stop: take only requests that end before the process does

What callers saw: in a planned stop of all instances in turn, streams that were sent 3.01 to 3.2 s after the SIGTERM of their instance were taken, passed on, and broken off at 7.6 s, in the middle.

Cause: a leaving instance took every request for 0.4 of its grace time and ended what was left at 0.95 of it, without asking whether a request can end by then. With 8 s of grace time a stream of 5.5 s that comes after 3.0 s can't; with 30 s the gap is 9 s long, and with 2 s requests of milliseconds were refused.

Evidence: request-in-progress of the cut streams names the phase relayed, 18 or 19 of 22 events, 3.4 s left to their deadline and an upstream that was silent for 4 ms.

Why the fix works: a request is taken if its deadline passes before all requests must have ended. One that may last longer is taken only while callers can hold the address, if the longest of the last 64 of its route would end in time; if that is not known, only while no other instance serves. The others are refused as not run, at once.

Before: entry "planned stop: streams that come late" failed for eight of eight streams, and "a request that surely ends" got 503 twice.

--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -11,11 +11,13 @@
 #include "chestnutsill/policy/deadlineestimator.h"
 #include "chestnutsill/policy/freshness.h"
 #include "chestnutsill/policy/handovertargets.h"
+#include "chestnutsill/policy/leavingschedule.h"
 #include "chestnutsill/policy/membership.h"
 #include "chestnutsill/policy/outlierdetector.h"
 #include "chestnutsill/policy/prefillrate.h"
 #include "chestnutsill/policy/rankdemand.h"
 #include "chestnutsill/policy/requestpermits.h"
+#include "chestnutsill/policy/routedurations.h"
 #include "chestnutsill/policy/silencedetector.h"
 #include "chestnutsill/policy/streamorigins.h"
 #include "chestnutsill/policy/upstreamload.h"
@@ -69,6 +71,7 @@
     HandOverTargets handOverTargets;
     PrefillRateEstimator prefillRates;
     DeadlineEstimator deadlineEstimator;
+    RouteDurations routeDurations;
     WindowedRetryBudget retryBudget;
     ColdStartLimiter coldStartLimiter;
     RankDemand rankDemand;
@@ -89,10 +92,9 @@
     std::function<void(std::uint64_t stream, const StreamOrigin &)> tellOrigin;
     /// Asks peers for the origin of a stream. Returns nothing if none of them knows it for certain.
     std::function<std::optional<StreamOrigin>(std::uint64_t stream, const Fiber &)> requestOrigin;
-    /// Whether this instance is about to stop, so that callers are asked to close their connections.
-    bool leaving = false;
-    /// Whether all further requests are refused.
-    bool rejectsRequests = false;
+    /// Set once this instance has been told to stop. Callers are asked to close their connections then, and
+    /// requests that may outlast the process are refused.
+    std::optional<LeavingSchedule> leaving;
 };
 
 struct RequestContext;
@@ -132,6 +134,12 @@
     void serve(RequestContext &context, const Fiber &fiber);
     void logInProgress(const RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> resolveRoute(RequestContext &context) const;
+    /// Whether another instance serves callers, as far as is known.
+    [[nodiscard]] bool othersServe() const;
+    /// Whether a request may outlast this instance, which is about to stop.
+    [[nodiscard]] bool mayOutlastProcess(const RequestContext &context) const;
+    /// Refuses a request because this instance is about to stop; sets when to send it again.
+    [[nodiscard]] Answer refuseLeaving(RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> authorize(RequestContext &context) const;
     /// Finds out, for a request that takes up a stream, at which service and software version it may go on.
     /// Refuses it if that is not known for certain.
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -30,12 +30,10 @@
 constexpr milliseconds KeyAgeMargin{500};
 /// How long callers may cache a directory response; some cache it for three times as long.
 constexpr milliseconds DirectoryTtl{1000};
-/// Fraction of the termination grace time for which a leaving instance still accepts requests, because
-/// callers may have its address cached.
-constexpr double AcceptFraction = 0.4;
-/// Fraction of the termination grace time after which a leaving instance stops even if requests are still in
-/// progress.
-constexpr double StopFraction = 0.95;
+/// How long callers connect because of a directory response, as a multiple of its time.
+constexpr int DirectoryTtlsUsed = 3;
+/// How long peers may go on naming a leaving instance, and responses that do are on their way.
+constexpr milliseconds DirectoryLag{200};
 constexpr milliseconds DrainPollInterval{50};
 constexpr milliseconds HousekeepingPeriod{250};
 constexpr milliseconds TableTimeout{1000};
@@ -87,11 +85,6 @@
     exchange.respond(status, "application/json", body, {}, fiber);
 }
 
-milliseconds fractionOf(milliseconds time, double fraction)
-{
-    return milliseconds(static_cast<milliseconds::rep>(static_cast<double>(time.count()) * fraction));
-}
-
 } // namespace
 
 class PlatformDaemon::Impl
@@ -329,7 +322,7 @@
             if (signal == SIGHUP)
                 reload();
             else if (!m_state.leaving)
-                startFiber(m_io, [this](const Fiber &fiber) { drain(fiber); });
+                leave();
             waitForSignal();
         });
     }
@@ -350,22 +343,31 @@
         m_gossip.setSeeds(seedAddresses(m_settings));
     }
 
-    void drain(const Fiber &fiber)
+    void leave()
     {
-        m_state.leaving = true;
+        const milliseconds grace = m_settings.platformLimits.terminationGrace;
+        m_state.leaving = leavingSchedule(now(), grace, DirectoryTtlsUsed * DirectoryTtl);
         m_state.membership.setServing(false);
         m_gossip.sendRound();
-        const Instant start = now();
-        log(LogLevel::Info, "leaving",
-            {{"graceMs", static_cast<std::int64_t>(m_settings.platformLimits.terminationGrace.count())}});
-        sleepFor(fractionOf(m_settings.platformLimits.terminationGrace, AcceptFraction), fiber);
-        m_state.rejectsRequests = true;
-        const Instant end = start + fractionOf(m_settings.platformLimits.terminationGrace, StopFraction);
-        while (m_callerServer.activeRequests() + m_handedOverRequests > 0 && now() < end)
+        log(LogLevel::Info, "leaving", {{"graceMs", static_cast<std::int64_t>(grace.count())}});
+        startFiber(m_io, [this](const Fiber &fiber) { drain(fiber); });
+    }
+
+    [[nodiscard]] int requestsInProgress() const
+    {
+        return m_callerServer.activeRequests() + m_handedOverRequests;
+    }
+
+    /// Serves until callers no longer use the address and no request is in progress, at the latest until all
+    /// requests must have ended.
+    void drain(const Fiber &fiber)
+    {
+        const LeavingSchedule schedule = *m_state.leaving;
+        const Instant earliestEnd = schedule.addressesExpire + DirectoryLag;
+        while (now() < schedule.requestsEnd && (now() < earliestEnd || requestsInProgress() > 0))
             sleepFor(DrainPollInterval, fiber);
         m_router.logRequestsInProgress();
-        log(LogLevel::Info, "stopped",
-            {{"cut", static_cast<std::int64_t>(m_callerServer.activeRequests() + m_handedOverRequests)}});
+        log(LogLevel::Info, "stopped", {{"cut", static_cast<std::int64_t>(requestsInProgress())}});
         m_io.stop();
     }
 
--- a/src/daemon/platformdaemon.h
+++ b/src/daemon/platformdaemon.h
@@ -25,8 +25,9 @@
     PlatformDaemon(const PlatformDaemon &) = delete;
     PlatformDaemon &operator=(const PlatformDaemon &) = delete;
 
-    /// Serves until SIGTERM or SIGINT, then drains: accepts requests for a part of the termination grace time
-    /// and returns when those in progress have ended, at the latest shortly before the grace time ends.
+    /// Serves until SIGTERM or SIGINT, then drains: accepts only requests that end in time, and returns once
+    /// callers no longer use the address and no request is in progress, at the latest shortly before the
+    /// termination grace time ends.
     void run();
 
 private:
--- a/src/daemon/statetext.cpp
+++ b/src/daemon/statetext.cpp
@@ -83,7 +83,7 @@
         }
     }
     json::object document{{"configVersion", table ? table->version : 0},
-                          {"leaving", state.leaving},
+                          {"leaving", state.leaving.has_value()},
                           {"storeLost", state.catalog.isStoreLost()},
                           {"keptConnections", state.connections.size()},
                           {"zonesOut", std::move(zones)},
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -139,8 +139,6 @@
 std::optional<Answer> Router::resolveRoute(RequestContext &context) const
 {
     context.table = m_state.catalog.table();
-    if (m_state.rejectsRequests)
-        return refuseNotRun("leaving", "this instance is about to stop");
     if (!context.table)
         return refuseNotRun("no-configuration", "this instance has not loaded a configuration yet");
     context.route = findRoute(*context.table, context.request.host, context.request.target);
@@ -150,6 +148,8 @@
     const milliseconds callerTimeout = context.request.callerTimeout.value_or(context.route->timeout);
     context.deadline = context.arrivedAt + std::min(callerTimeout, context.route->timeout);
     setService(context, selectService(*context.route, stableHash(context.request.attemptId)));
+    if (mayOutlastProcess(context))
+        return refuseLeaving(context);
     return std::nullopt;
 }
 
@@ -293,6 +293,8 @@
     record.attained = !answer && context.route != nullptr && record.firstToken <= context.route->target;
     record.tokensIn = context.request.prompt.tokens;
     m_state.metrics.record(record);
+    if (context.responseEnded || (answer && answer->reason == "deadline"))
+        m_state.routeDurations.record(context.route->name, record.totalTime);
     const auto age = m_state.freshness.age(time);
     log(LogLevel::Info, "request-ended",
         {{"requestId", context.request.attemptId},
--- a/src/router/stopping.cpp
+++ b/src/router/stopping.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Retry-After time of a refusal by an instance that is about to stop, while another one serves.
+constexpr milliseconds LeavingRetryAfter{20};
+
 double toMs(Instant time)
 {
     return std::chrono::duration<double, std::milli>(time).count();
@@ -16,6 +19,29 @@
 
 } // namespace
 
+bool Router::othersServe() const
+{
+    const auto others = m_state.membership.alive(now());
+    return std::any_of(others.begin(), others.end(),
+                       [](const InstanceStatus &other) { return other.serving; });
+}
+
+bool Router::mayOutlastProcess(const RequestContext &context) const
+{
+    if (!m_state.leaving)
+        return false;
+    const LateRequest request{context.deadline, m_state.routeDurations.longest(context.route->name),
+                              othersServe()};
+    return !mayAccept(*m_state.leaving, request, now());
+}
+
+Answer Router::refuseLeaving(RequestContext &context) const
+{
+    if (othersServe())
+        context.retryAfter = LeavingRetryAfter;
+    return refuseNotRun("leaving", "this instance is about to stop");
+}
+
 void Router::logRequestsInProgress() const
 {
     for (const RequestContext *context : m_requestsInProgress)
--- /dev/null
+++ b/tests/entry/plannedstoptest.cpp
@@ -0,0 +1,111 @@
+#include "rawcaller.h"
+#include "site.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace chestnutsill;
+using std::chrono::milliseconds;
+using support::callTo;
+using support::exchangeBytes;
+using support::looksComplete;
+using support::RawAnswer;
+using support::Site;
+using support::statusOf;
+using support::waitUntil;
+
+namespace {
+
+/// Callers connect to an instance for this long after it has told the others that it leaves: three times the
+/// time of a directory response.
+constexpr milliseconds AddressUse{3000};
+constexpr milliseconds CallTimeout{12'000};
+
+void setRoute(Site &site, std::size_t route, const char *field, int value)
+{
+    site.table().at("routes").as_array().at(route).as_object()[field] = value;
+}
+
+/// A request as bytes, with `bodySize` as its stated length.
+std::string requestTo(const std::string &path, const std::string &id, std::size_t bodySize,
+                      const std::string &body)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: " + id
+           + "\r\nAuthorization: Bearer key-1\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n"
+           + body;
+}
+
+std::future<RawAnswer> send(const Site &site, const std::string &path, const std::string &id)
+{
+    return std::async(std::launch::async,
+                      [address = site.address(0, site.callerPort()), request = requestTo(path, id, 2, "{}")] {
+                          return exchangeBytes(address, request, CallTimeout);
+                      });
+}
+
+} // namespace
+
+TEST_CASE("planned stop: streams that come late and may outlast the grace time are refused, not cut")
+{
+    Site site("stop-late-streams");
+    site.setTerminationGrace(8);
+    for (const std::size_t route : {3U, 4U})
+        setRoute(site, route, "timeout_ms", 8000);
+    site.publishTable();
+    Site::commandUpstream(site.addUpstream("chat-1", "chat"), R"({"events":22,"eventMs":250})");
+    site.start(1);
+    REQUIRE(site.waitReady());
+    // In progress until after the late ones have come.
+    auto first = send(site, "/streamonce/stream/x", "first");
+    REQUIRE(waitUntil([&] { return site.runsOf("first") == 1; }));
+    site.instances()[0].process->signal(SIGTERM);
+    std::this_thread::sleep_for(AddressUse + milliseconds(20));
+    std::vector<std::future<RawAnswer>> late;
+    for (int i = 0; i < 8; ++i) {
+        const char *path = i % 2 == 0 ? "/stream/stream/x" : "/streamonce/stream/x";
+        late.push_back(send(site, path, "late-" + std::to_string(i)));
+        std::this_thread::sleep_for(milliseconds(15));
+    }
+    for (std::size_t i = 0; i < late.size(); ++i) {
+        CAPTURE(i);
+        const RawAnswer answer = late[i].get();
+        CHECK(looksComplete(answer, true));
+        if (statusOf(answer) == 503)
+            CHECK(site.runsOf("late-" + std::to_string(i)) == 0);
+        else
+            CHECK(statusOf(answer) == 200);
+    }
+    const RawAnswer whole = first.get();
+    CHECK(statusOf(whole) == 200);
+    CHECK(looksComplete(whole, true));
+    CHECK(site.instances()[0].process->waitForExit(10) == 0);
+}
+
+TEST_CASE("planned stop: a request that surely ends before the grace time is served late in it")
+{
+    Site site("stop-short-requests");
+    site.setTerminationGrace(8);
+    setRoute(site, 4, "timeout_ms", 8000);
+    site.publishTable();
+    site.addUpstream("desk-1", "desk");
+    Site::commandUpstream(site.addUpstream("chat-1", "chat"), R"({"events":26,"eventMs":250})");
+    site.start(1);
+    REQUIRE(site.waitReady());
+    auto first = send(site, "/streamonce/stream/x", "first");
+    REQUIRE(waitUntil([&] { return site.runsOf("first") == 1; }));
+    site.instances()[0].process->signal(SIGTERM);
+    std::this_thread::sleep_for(AddressUse + milliseconds(500));
+    for (const char *path : {"/plain/x", "/booking/x"}) {
+        const RawAnswer answer = send(site, path, path).get();
+        CHECK(statusOf(answer) == 200);
+        CHECK(looksComplete(answer, true));
+        CHECK(answer.bytes.find("Connection: close\r\n") != std::string::npos);
+    }
+    CHECK(looksComplete(first.get(), true));
+}
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -243,7 +243,7 @@
                                  {{"revoke_strict", true},
                                   {"revoke_ms", maxKeyConfirmationAgeMs},
                                   {"config_apply_ms", 2000},
-                                  {"grace_s", 4},
+                                  {"grace_s", m_terminationGraceSeconds},
                                   {"retry_budget_ratio", 0.2},
                                   {"retry_slack", 30},
                                   {"retry_window_s", 10}}}};
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -108,6 +108,9 @@
     [[nodiscard]] std::int64_t storeCalls() const;
     static void commandUpstream(const Upstream &upstream, const std::string &command);
 
+    /// Time from SIGTERM to SIGKILL that the settings state, 4 s by default.
+    void setTerminationGrace(int seconds) noexcept { m_terminationGraceSeconds = seconds; }
+
     /// Number of availability zones among which instances are spread, `a` and so on; one by default.
     void setZoneCount(int count) noexcept { m_zoneCount = count; }
 
@@ -164,6 +167,7 @@
     int m_network;
     int m_nextAttempt = 1;
     int m_zoneCount = 1;
+    int m_terminationGraceSeconds = 4;
 };
 
 } // namespace chestnutsill::support
