Planned stop: answer what is in progress before the process ends

What callers saw: the connection closed without a byte for requests that were in progress when the grace time of their instance ended, bookings among them, whether or not they had been sent to an upstream.

Cause: the end of the event loop was the end of all requests. Only new ones were refused.

Evidence: the entry test has requests that are older than the signal; request-in-progress shows them in phase sent, and one that waits for a permit in phase queued, when the process ends.

One that was never sent is answered 503, one that was sent 502, completely. Upstreams are not blamed for it, and nothing is retried.

--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -2,6 +2,7 @@
 
 #include "chestnutsill/net/connectionpool.h"
 #include "chestnutsill/net/exchange.h"
+#include "chestnutsill/net/interruptiblesleep.h"
 #include "chestnutsill/observe/metrics.h"
 #include "chestnutsill/policy/answer.h"
 #include "chestnutsill/policy/brittleupstreams.h"
@@ -118,10 +119,10 @@
     /// other instance. The response tells the peer the verdict.
     void handleHandedOver(Exchange &exchange, const Fiber &fiber);
 
-    /// Logs each request in progress with how far it has come: `read`, `queued`, `sent`, `begun` or
-    /// `relayed`.
-    ///     /// A request whose line is the last one about it was ended by the process.
-    void logRequestsInProgress() const;
+    /// Ends all requests in progress, because this instance stops, and logs how far each has come: `read`,
+    /// `queued`, `sent`, `begun` or `relayed`. Callers get a complete response that says whether the request
+    /// may have run, unless theirs has begun; it is broken off then.
+    void endRequests();
 
     /// Whether the table was confirmed recently enough for API keys to be accepted.
     [[nodiscard]] bool isKeyFresh() const;
@@ -133,6 +134,8 @@
 private:
     void serve(RequestContext &context, const Fiber &fiber);
     void logInProgress(const RequestContext &context) const;
+    /// The answer to a request that this instance can't complete because it stops.
+    [[nodiscard]] Answer answerStopped(RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> resolveRoute(RequestContext &context) const;
     /// Whether another instance serves callers, as far as is known.
     [[nodiscard]] bool othersServe() const;
@@ -168,12 +171,13 @@
     [[nodiscard]] std::optional<Answer> choosePermittedUpstream(RequestContext &context,
                                                                 UpstreamAttempt &attempt, const Fiber &fiber);
     /// Gets the permit to send a request of this rank now to an upstream, and waits for it up to `maxDelay`.
-    /// An upstream that names no rate needs none.
+    /// An upstream that names no rate needs none. Returns false also if the wait was interrupted.
     [[nodiscard]] bool acquirePermit(const std::string &upstream, milliseconds maxDelay, int rank,
-                                     const Fiber &fiber);
-    /// Waits until an upstream in cold start accepts the request. Returns false if the process was stopped
-    /// meanwhile, so that the turn has passed.
-    [[nodiscard]] static bool waitUntilAccepted(const UpstreamAttempt &attempt, const Fiber &fiber);
+                                     InterruptibleSleep &sleep, const Fiber &fiber);
+    /// Waits until an upstream in cold start accepts the request. Returns false if the turn has passed,
+    /// because the process was stopped meanwhile, or if the wait was interrupted.
+    [[nodiscard]] static bool waitUntilAccepted(const UpstreamAttempt &attempt, InterruptibleSleep &sleep,
+                                                const Fiber &fiber);
     /// Whether a request may be handed over to a peer, if this instance reaches no upstream of its service.
     [[nodiscard]] bool mayHandOver(const RequestContext &context) const;
     /// Whether connections to all upstreams that a request could be sent to have failed.
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -35,6 +35,7 @@
 /// How long peers may go on naming a leaving instance, and responses that do are on their way.
 constexpr milliseconds DirectoryLag{200};
 constexpr milliseconds DrainPollInterval{50};
+constexpr milliseconds FinalPollInterval{5};
 constexpr milliseconds HousekeepingPeriod{250};
 constexpr milliseconds TableTimeout{1000};
 /// How long to wait for the store to deliver a newer table that a peer has announced, before fetching it from
@@ -359,15 +360,20 @@
     }
 
     /// Serves until callers no longer use the address and no request is in progress, at the latest until all
-    /// requests must have ended.
+    /// requests must have ended. Then answers those that have not, and ends the process.
     void drain(const Fiber &fiber)
     {
         const LeavingSchedule schedule = *m_state.leaving;
         const Instant earliestEnd = schedule.addressesExpire + DirectoryLag;
         while (now() < schedule.requestsEnd && (now() < earliestEnd || requestsInProgress() > 0))
             sleepFor(DrainPollInterval, fiber);
-        m_router.logRequestsInProgress();
-        log(LogLevel::Info, "stopped", {{"cut", static_cast<std::int64_t>(requestsInProgress())}});
+        const int ended = requestsInProgress();
+        m_router.endRequests();
+        while (now() < schedule.processEnds && requestsInProgress() > 0)
+            sleepFor(FinalPollInterval, fiber);
+        log(LogLevel::Info, "stopped",
+            {{"ended", static_cast<std::int64_t>(ended)},
+             {"cut", static_cast<std::int64_t>(requestsInProgress())}});
         m_io.stop();
     }
 
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -122,7 +122,7 @@
 {
     const Instant time = now();
     const UpstreamRecord *record = m_state.catalog.find(attempt.upstream);
-    if (context.callerGone || time >= context.deadline || record == nullptr
+    if (isGivenUp(context) || time >= context.deadline || record == nullptr
         || !m_state.catalog.isUsable(attempt.upstream) || pausedUntil(*record, time))
         return false;
     return context.account == nullptr || isKeyFresh();
@@ -406,7 +406,7 @@
     if (attempt.sent)
         m_state.silenceDetector.recordEnd(attempt.upstream, attempt.firstByteSeen);
     m_state.crashTracker.recordEnd(attempt.upstream, context.fingerprint,
-                                   attempt.connectionBroke && !context.callerGone, time);
+                                   attempt.connectionBroke && !isGivenUp(context), time);
     context.activeClient = nullptr;
     // The unsent rest of an abandoned request must not reach the upstream.
     if (attempt.client && attempt.sent && !context.responseEnded)
@@ -423,7 +423,9 @@
              {"softwareVersion", attempt.softwareVersion},
              {"verdict", std::string(toString(attempt.verdict))},
              {"status", static_cast<std::int64_t>(attempt.status)},
-             {"reason", context.callerGone ? std::string("caller-gone") : attempt.reason},
+             {"reason", context.callerGone ? std::string("caller-gone")
+                        : context.stopped  ? std::string("leaving")
+                                           : attempt.reason},
              {"framing", std::string(attempt.framing)},
              {"events", static_cast<std::int64_t>(context.eventSplitter.eventCount())},
              {"pendingBytes", static_cast<std::int64_t>(context.eventSplitter.pendingBytes().size())},
@@ -433,7 +435,7 @@
              {"sharedParts",
               attempt.connectionBroke ? sharedPartIds(context.request.prompt) : std::string()}});
     }
-    if (context.callerGone)
+    if (isGivenUp(context))
         return;
     m_state.outlierDetector.record(attempt.upstream, attempt.result, time);
     if (attempt.result == AttemptResult::Unreachable
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -277,32 +277,35 @@
     for (;;) {
         if (auto refused = chooseUpstream(context, attempt)) {
             const Instant time = now();
-            if (refused->reason != "no-room" || context.callerGone
+            if (refused->reason != "no-room" || isGivenUp(context)
                 || time - start > maxPermitWait(context, start))
                 return refused;
-            sleepFor(RoomCheckPeriod, fiber);
+            (void)context.sleep.sleepFor(RoomCheckPeriod, fiber);
             attempt = UpstreamAttempt{};
             continue;
         }
-        if (!acquirePermit(attempt.upstream, context.permitWait, rankOf(context), fiber))
+        if (!acquirePermit(attempt.upstream, context.permitWait, rankOf(context), context.sleep, fiber))
             context.deniedUpstreams.push_back(attempt.upstream);
-        else if (waitUntilAccepted(attempt, fiber))
+        else if (waitUntilAccepted(attempt, context.sleep, fiber))
             return std::nullopt;
         attempt = UpstreamAttempt{};
+        if (isGivenUp(context))
+            return refuseLeaving(context);
     }
 }
 
-bool Router::waitUntilAccepted(const UpstreamAttempt &attempt, const Fiber &fiber)
+bool Router::waitUntilAccepted(const UpstreamAttempt &attempt, InterruptibleSleep &sleep, const Fiber &fiber)
 {
     if (attempt.acceptedAt == Instant{})
         return true;
     const auto delay = std::chrono::ceil<milliseconds>(attempt.acceptedAt - now());
-    if (delay > milliseconds(0))
-        sleepFor(delay, fiber);
+    if (delay > milliseconds(0) && !sleep.sleepFor(delay, fiber))
+        return false;
     return now() - attempt.acceptedAt <= MaxTurnLateness;
 }
 
-bool Router::acquirePermit(const std::string &upstream, milliseconds maxDelay, int rank, const Fiber &fiber)
+bool Router::acquirePermit(const std::string &upstream, milliseconds maxDelay, int rank,
+                           InterruptibleSleep &sleep, const Fiber &fiber)
 {
     /// Time until an issuer that did not reply is asked again.
     constexpr milliseconds NoReplyDelay{200};
@@ -320,8 +323,8 @@
         m_state.rateLimits.recordDenied(upstream, now() + permit.delay);
         return false;
     }
-    if (permit.delay > milliseconds(0))
-        sleepFor(permit.delay, fiber);
+    if (permit.delay > milliseconds(0) && !sleep.sleepFor(permit.delay, fiber))
+        return false;
     return now() - start <= permit.delay + MaxTurnLateness;
 }
 
--- a/src/router/handover.cpp
+++ b/src/router/handover.cpp
@@ -96,7 +96,7 @@
 
 bool Router::handOver(RequestContext &context, std::optional<Answer> &answer, const Fiber &fiber)
 {
-    for (int peers = 0; peers < MaxPeers && !context.callerGone; ++peers) {
+    for (int peers = 0; peers < MaxPeers && !isGivenUp(context); ++peers) {
         const Instant time = now();
         if (time >= context.deadline)
             break;
@@ -111,7 +111,7 @@
         m_state.handOverTargets.recordEnd(peer->name);
         if (result == HandOverResult::Ended)
             return true;
-        if (!context.callerGone)
+        if (!isGivenUp(context))
             m_state.handOverTargets.recordUnable(peer->name, context.serviceName, now());
     }
     if (context.callerGone) {
@@ -119,6 +119,10 @@
             refusal(502, Verdict::MayHaveRun, "caller-gone", "caller", "the caller closed its connection");
         return true;
     }
+    if (context.stopped) {
+        answer = answerStopped(context);
+        return true;
+    }
     if (context.possibleRuns > 0) {
         answer = refusal(502, Verdict::MayHaveRun, "upstream-failed", "instance",
                          "an instance that had taken the request failed");
@@ -142,7 +146,7 @@
         const bool isConnected =
             client->connect(peer.peerAddress, std::min(PeerConnectTimeout, timeLeft()), fiber);
         context.activeClient = nullptr;
-        if (!isConnected || context.callerGone)
+        if (!isConnected || isGivenUp(context))
             return HandOverResult::NotTaken;
     }
     if (context.account != nullptr && !isKeyFresh()) {
@@ -215,6 +219,10 @@
                          "the request failed at another instance");
         return HandOverResult::Ended;
     }
+    if (context.stopped) {
+        answer = answerStopped(context);
+        return HandOverResult::Ended;
+    }
     // The connection to the peer broke, so that the request may run again if it is idempotent.
     if (mayRunAgain(context)
         && m_state.retryBudget.tryAcquire(context.serviceName, m_state.membership.size(now()), now()))
--- a/src/router/requestcontext.h
+++ b/src/router/requestcontext.h
@@ -2,6 +2,7 @@
 
 #include "chestnutsill/net/exchange.h"
 #include "chestnutsill/net/httpclient.h"
+#include "chestnutsill/net/interruptiblesleep.h"
 #include "chestnutsill/policy/outlierdetector.h"
 #include "chestnutsill/policy/routing.h"
 #include "chestnutsill/policy/verdict.h"
@@ -97,8 +98,12 @@
     /// Name of the peer to which it was handed over last; empty for none.
     std::string handedOverTo;
     bool callerGone = false;
+    /// Whether the request must be answered now because this instance stops.
+    bool stopped = false;
     /// Connection of the current attempt, which is reset when the caller disconnects.
     HttpClient *activeClient = nullptr;
+    /// Pause in which the request waits until it may be sent.
+    InterruptibleSleep sleep;
     std::vector<std::string> triedUpstreams;
     /// Upstreams that accept a limited rate and have denied the current attempt a permit.
     std::vector<std::string> deniedUpstreams;
@@ -147,6 +152,20 @@
     return context.exchange.sendPiece(piece, fiber);
 }
 
+/// Whether no further attempt is made, and what is in progress is ended.
+[[nodiscard]] inline bool isGivenUp(const RequestContext &context)
+{
+    return context.callerGone || context.stopped;
+}
+
+/// Ends what is in progress for a request that is given up.
+inline void interrupt(RequestContext &context)
+{
+    context.sleep.interrupt();
+    if (context.activeClient != nullptr)
+        context.activeClient->reset();
+}
+
 /// Whether the caller takes up a stream of which it has events.
 [[nodiscard]] inline bool takesUpStream(const RequestContext &context)
 {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -96,8 +96,7 @@
     context.request = std::move(std::get<CallerRequest>(decoded));
     exchange.watchCaller([&context] {
         context.callerGone = true;
-        if (context.activeClient != nullptr)
-            context.activeClient->reset();
+        interrupt(context);
     });
     m_requestsInProgress.insert(&context);
     auto answer = resolveRoute(context);
@@ -186,8 +185,12 @@
             return answer;
         if (context.handedOver && context.possibleRuns == 0 && reachesNone(context))
             return refuseNotRun(OutOfReach, "this instance reaches no upstream of the service");
+        if (context.stopped)
+            return answerStopped(context);
         UpstreamAttempt attempt;
         if (auto refused = choosePermittedUpstream(context, attempt, fiber)) {
+            if (context.stopped)
+                return answerStopped(context);
             if (context.possibleRuns > 0)
                 return refusal(502, Verdict::MayHaveRun, "upstream-failed", "upstream", "an upstream failed");
             return refused;
@@ -208,6 +211,8 @@
                            "the caller closed its connection");
         if (context.responseEnded)
             return std::nullopt;
+        if (context.stopped)
+            return answerStopped(context);
         context.retryTaken = attempt.retryGranted || mayRetry(context, attempt);
         if (context.retryTaken)
             continue;
@@ -243,7 +248,7 @@
 
 bool Router::mayRetry(RequestContext &context, const UpstreamAttempt &attempt)
 {
-    if (context.callerGone || now() >= context.deadline || context.triedUpstreams.size() >= MaxTriedUpstreams
+    if (isGivenUp(context) || now() >= context.deadline || context.triedUpstreams.size() >= MaxTriedUpstreams
         || context.sentAttempts >= MaxSentAttempts)
         return false;
     const bool hasRun = attempt.verdict != Verdict::NotRun;
--- a/src/router/stopping.cpp
+++ b/src/router/stopping.cpp
@@ -42,10 +42,21 @@
     return refuseNotRun("leaving", "this instance is about to stop");
 }
 
-void Router::logRequestsInProgress() const
+Answer Router::answerStopped(RequestContext &context) const
 {
-    for (const RequestContext *context : m_requestsInProgress)
+    if (context.possibleRuns == 0)
+        return refuseLeaving(context);
+    return refusal(502, Verdict::MayHaveRun, "leaving", "instance",
+                   "this instance has stopped before a complete response arrived");
+}
+
+void Router::endRequests()
+{
+    for (RequestContext *context : m_requestsInProgress) {
         logInProgress(*context);
+        context->stopped = true;
+        interrupt(*context);
+    }
 }
 
 void Router::logInProgress(const RequestContext &context) const
--- a/src/router/upstreamhealth.cpp
+++ b/src/router/upstreamhealth.cpp
@@ -201,6 +201,7 @@
     milliseconds pause = FirstHealthPause;
     std::string_view outcome = "answered";
     int checks = 0;
+    InterruptibleSleep permitSleep;
     while (detector.isSuspected(upstream)) {
         const UpstreamRecord *record = m_state.catalog.find(upstream);
         if (record == nullptr) {
@@ -212,7 +213,7 @@
         const UpstreamEntry entry = record->entry;
         const std::string path = healthPath(entry.service);
         // A health check takes a slot like any other request.
-        if (pausedUntil(*record, now()) || !acquirePermit(upstream, MaxHealthPause, 0, fiber)) {
+        if (pausedUntil(*record, now()) || !acquirePermit(upstream, MaxHealthPause, 0, permitSleep, fiber)) {
             sleepFor(pause, fiber);
             continue;
         }
--- a/tests/entry/plannedstoptest.cpp
+++ b/tests/entry/plannedstoptest.cpp
@@ -109,3 +109,41 @@
     }
     CHECK(looksComplete(first.get(), true));
 }
+
+TEST_CASE("planned stop: requests in hand when the grace time ends get a whole answer that is true")
+{
+    Site site("stop-in-hand");
+    site.setTerminationGrace(2);
+    for (std::size_t route = 0; route < 5; ++route) {
+        setRoute(site, route, "timeout_ms", 15'000);
+        setRoute(site, route, "goal_ms", 15'000);
+    }
+    // Only requests of the most urgent rank wait for their turn.
+    site.table().at("tenants").as_array().at(0).as_object()["priority"] = 0;
+    site.publishTable();
+    Site::commandUpstream(site.addUpstream("desk-1", "desk"), R"({"workMs":20000})");
+    Site::commandUpstream(site.addUpstream("chat-1", "chat"), R"({"rate":"0.7"})");
+    site.start(1);
+    REQUIRE(site.waitReady());
+    // The upstream names its rate in its answer, so that later requests wait for their turns.
+    REQUIRE(site.call(0, callTo("/streamonce/stream/x", "learns-rate")));
+    auto booking = send(site, "/booking/x", "booking");
+    auto plain = send(site, "/plain/x", "plain");
+    REQUIRE(waitUntil([&] { return site.runsOf("booking") == 1 && site.runsOf("plain") == 1; }));
+    auto turn = send(site, "/streamonce/stream/x", "first-turn");
+    REQUIRE(waitUntil([&] { return site.runsOf("first-turn") == 1; }));
+    auto waiting = send(site, "/streamonce/stream/x", "waiting");
+    std::this_thread::sleep_for(milliseconds(200));
+    site.instances()[0].process->signal(SIGTERM);
+    for (auto *sent : {&booking, &plain}) {
+        const RawAnswer answer = sent->get();
+        CHECK(statusOf(answer) == 502);
+        CHECK(looksComplete(answer, true));
+    }
+    const RawAnswer refused = waiting.get();
+    CHECK(statusOf(refused) == 503);
+    CHECK(looksComplete(refused, true));
+    CHECK(site.runsOf("waiting") == 0);
+    CHECK(statusOf(turn.get()) == 200);
+    CHECK(site.instances()[0].process->waitForExit(10) == 0);
+}
