--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,13 +1,12 @@
 #include "chestnutsill/net/httpserver.h"
 
 #include "impl/beast.h"
+#include "impl/beastexchange.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <sys/socket.h>
-
 #include <array>
 #include <stdexcept>
 
@@ -16,6 +15,7 @@
 using impl::asio::io_context;
 namespace beast = impl::beast;
 namespace http = impl::http;
+using impl::BeastExchange;
 using impl::Tcp;
 
 struct HttpServer::State
@@ -44,189 +44,6 @@
 /// Maximum time for which the input of a rejected request is read and discarded.
 constexpr std::chrono::milliseconds DiscardTime{2000};
 
-/// Exchange for one request on a caller's connection.
-class BeastExchange : public Exchange
-{
-public:
-    /// Responses without a length to a caller that doesn't know chunks end with their connection.
-    BeastExchange(beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, bool keepAlive,
-                  bool knowsChunks)
-        : m_stream(stream)
-        , m_request(std::move(request))
-        , m_limits(limits)
-        , m_keepAlive(keepAlive)
-        , m_knowsChunks(knowsChunks)
-    {}
-
-    [[nodiscard]] const HttpRequest &request() const noexcept override { return m_request; }
-
-    bool respond(int status, std::string_view contentType, std::string_view body,
-                 std::span<const HttpField> fields, const Fiber &fiber) override
-    {
-        http::response<http::string_body> response(static_cast<http::status>(status), 11);
-        setFields(response, contentType, fields);
-        response.body().assign(body.data(), body.size());
-        response.prepare_payload();
-        boost::system::error_code error;
-        m_stream.expires_after(m_limits.writeTimeout);
-        http::async_write(m_stream, response, fiber[error]);
-        return checkResult(error);
-    }
-
-    bool startStream(int status, std::string_view contentType, std::span<const HttpField> fields,
-                     const Fiber &fiber) override
-    {
-        http::response<http::empty_body> response(static_cast<http::status>(status), 11);
-        setFields(response, contentType, fields);
-        return sendHead(response, std::nullopt, fiber);
-    }
-
-    bool startRelay(int status, std::span<const HttpField> fields, std::optional<std::uint64_t> length,
-                    const Fiber &fiber) override
-    {
-        http::response<http::empty_body> response(static_cast<http::status>(status), 11);
-        for (const HttpField &field : fields)
-            response.insert(field.name, field.value);
-        response.keep_alive(m_keepAlive);
-        return sendHead(response, length, fiber);
-    }
-
-    bool sendPiece(std::string_view piece, const Fiber &fiber) override
-    {
-        if (piece.empty() || m_failed)
-            return !m_failed;
-        boost::system::error_code error;
-        const auto bytes = boost::asio::buffer(piece.data(), piece.size());
-        m_stream.expires_after(m_limits.writeTimeout);
-        if (m_chunked)
-            boost::asio::async_write(m_stream, http::make_chunk(bytes), fiber[error]);
-        else
-            boost::asio::async_write(m_stream, bytes, fiber[error]);
-        return checkResult(error);
-    }
-
-    bool endStream(const Fiber &fiber) override
-    {
-        boost::system::error_code error;
-        if (m_endsWithConnection && !m_failed)
-            setResetOnClose(false);
-        if (m_chunked && !m_failed) {
-            m_stream.expires_after(m_limits.writeTimeout);
-            boost::asio::async_write(m_stream, http::make_chunk_last(), fiber[error]);
-        }
-        m_streaming = false;
-        return checkResult(error);
-    }
-
-    void abort() override
-    {
-        boost::system::error_code ignored;
-        m_stream.socket().close(ignored);
-        m_failed = true;
-    }
-
-    [[nodiscard]] bool callerGone() override
-    {
-        char byte = 0;
-        const auto received = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-
-    void watchCaller(std::function<void()> onGone) override
-    {
-        m_onGone = std::make_shared<std::function<void()>>(std::move(onGone));
-        m_stream.socket().async_wait(Tcp::socket::wait_read, [this, watch = std::weak_ptr(m_onGone)](
-                                                                 const boost::system::error_code &error) {
-            const auto onGone = watch.lock();
-            if (!error && onGone && callerGone())
-                (*onGone)();
-        });
-    }
-
-    void closeAfterResponse() override { m_keepAlive = false; }
-
-    /// Stops watching the caller, so that the next request can be read from the connection.
-    void stopWatchingCaller()
-    {
-        if (!m_onGone)
-            return;
-        m_onGone.reset();
-        boost::system::error_code ignored;
-        m_stream.socket().cancel(ignored);
-    }
-
-    /// Whether the connection can serve another request.
-    [[nodiscard]] bool isReusable() const noexcept
-    {
-        return m_keepAlive && !m_failed && !m_streaming && !m_request.error;
-    }
-
-    /// Whether a response has begun and not reached its end.
-    [[nodiscard]] bool isBrokenOff() const noexcept { return m_streaming; }
-
-private:
-    using Head = http::response<http::empty_body>;
-
-    /// Sends the head of a response whose body follows in pieces.
-    bool sendHead(Head &head, std::optional<std::uint64_t> length, const Fiber &fiber)
-    {
-        m_chunked = !length && m_knowsChunks;
-        m_endsWithConnection = !length && !m_knowsChunks;
-        if (length)
-            head.content_length(*length);
-        else if (m_chunked)
-            head.chunked(true);
-        if (m_endsWithConnection) {
-            m_keepAlive = false;
-            head.keep_alive(false);
-            // The caller takes a close for the end of the body. Until the end is reached the connection is
-            // reset however it is closed, also by the end of this process.
-            setResetOnClose(true);
-        }
-        http::response_serializer<http::empty_body> serializer(head);
-        boost::system::error_code error;
-        m_stream.expires_after(m_limits.writeTimeout);
-        http::async_write_header(m_stream, serializer, fiber[error]);
-        m_streaming = true;
-        return checkResult(error);
-    }
-
-    /// Sets whether closing the connection resets it.
-    void setResetOnClose(bool resets)
-    {
-        boost::system::error_code ignored;
-        m_stream.socket().set_option(boost::asio::socket_base::linger(resets, 0), ignored);
-    }
-
-    template<typename Response>
-    void setFields(Response &response, std::string_view contentType, std::span<const HttpField> fields)
-    {
-        response.set(http::field::content_type, impl::toBeast(contentType));
-        for (const HttpField &field : fields)
-            response.set(field.name, field.value);
-        response.keep_alive(m_keepAlive && !m_request.error);
-    }
-
-    bool checkResult(const boost::system::error_code &error)
-    {
-        m_failed = m_failed || error;
-        return !m_failed;
-    }
-
-    beast::tcp_stream &m_stream;
-    HttpRequest m_request;
-    const HttpLimits &m_limits;
-    bool m_keepAlive;
-    bool m_knowsChunks;
-    bool m_failed = false;
-    bool m_streaming = false;
-    bool m_chunked = true;
-    /// Whether the end of the connection marks the end of the response.
-    bool m_endsWithConnection = false;
-    /// Set while the caller is watched; the pending wait holds a weak reference.
-    std::shared_ptr<std::function<void()>> m_onGone;
-};
-
 using Parser = http::request_parser<http::string_body>;
 
 HttpError errorFrom(const boost::system::error_code &error)
