Server: close a connection only after its last response has been read

What callers saw: a caller that sends on its connection while it reads a last response, one with Connection: close, loses the end of that response if it is large.

Cause: the connection was closed as soon as the response was written to the socket. A close with unread input resets the connection, which drops what has not been sent.

Why the fix works: the sending side is closed first, and input is discarded until the caller closes, for 2 s at most, as it was for rejected requests.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -144,12 +144,13 @@
     std::atomic<int> &count;
 };
 
-/// Reads and discards what the caller still sends. Closing the connection with unread input would reset it,
-/// and the caller might lose the response.
-void discardInput(beast::tcp_stream &stream, const Fiber &fiber)
+/// Ends a connection after its last response: reads and discards what the caller still sends until it closes
+/// the connection. Closing it with unread input would reset it, and the caller might lose the response.
+void lingerAndClose(beast::tcp_stream &stream, const Fiber &fiber)
 {
     std::array<char, ReadSize> buffer;
     boost::system::error_code error;
+    stream.socket().shutdown(Tcp::socket::shutdown_send, error);
     stream.expires_after(DiscardTime);
     while (!error)
         stream.async_read_some(boost::asio::buffer(buffer), fiber[error]);
@@ -167,23 +168,18 @@
         const HttpLimits limits = state.limits();
         auto request = readRequest(stream, buffer, parser, limits, fiber);
         if (!request)
-            break;
+            return;
         const ActiveRequest active(state.active);
         BeastExchange exchange(stream, std::move(*request), limits, parser.get().keep_alive(),
                                parser.get().version() >= FirstVersionWithChunks);
         state.handler(exchange, fiber);
         exchange.stopWatchingCaller();
-        if (exchange.request().error) {
-            stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-            discardInput(stream, fiber);
-            return;
-        }
         if (exchange.isBrokenOff())
             return exchange.abort();
         if (!exchange.isReusable())
             break;
     }
-    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    lingerAndClose(stream, fiber);
 }
 
 template<typename StatePtr>
--- /dev/null
+++ b/tests/net/httpservertest.cpp
@@ -0,0 +1,81 @@
+#include "chestnutsill/net/httpserver.h"
+
+#include <arpa/inet.h>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <thread>
+
+using namespace chestnutsill;
+
+namespace {
+
+constexpr const char *ServerAddress = "127.0.0.1:27192";
+constexpr std::uint16_t ServerPort = 27192;
+/// More than the socket buffers of both ends hold.
+constexpr std::size_t BodyBytes = 16 << 20;
+
+int connectToServer()
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(ServerPort);
+    ::inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int isConnected = ::connect(connection, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    REQUIRE(isConnected == 0);
+    return connection;
+}
+
+void sendText(int connection, std::string_view text)
+{
+    REQUIRE(::send(connection, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+}
+
+/// Receives slowly, so that the server's last bytes wait in its socket, until the connection ends. Returns
+/// the number of bytes.
+std::size_t receiveAll(int connection)
+{
+    std::array<char, 65'536> buffer{};
+    std::size_t total = 0;
+    for (;;) {
+        const auto count = ::recv(connection, buffer.data(), buffer.size(), 0);
+        if (count <= 0)
+            return total;
+        total += static_cast<std::size_t>(count);
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+}
+
+} // namespace
+
+TEST_CASE("http server: a caller that sends again while it reads its last response loses nothing of it")
+{
+    boost::asio::io_context io;
+    const std::string body(BodyBytes, 'x');
+    HttpServer server(io, ServerAddress, HttpLimits{}, [&](Exchange &exchange, const Fiber &fiber) {
+        exchange.closeAfterResponse();
+        exchange.respond(200, "text/plain", body, {}, fiber);
+    });
+    std::size_t received = 0;
+    std::thread caller([&] {
+        constexpr std::string_view Request = "GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
+        const int connection = connectToServer();
+        sendText(connection, Request);
+        std::array<char, 1> first{};
+        REQUIRE(::recv(connection, first.data(), first.size(), 0) == 1);
+        sendText(connection, Request);
+        received = 1 + receiveAll(connection);
+        ::close(connection);
+        io.stop();
+    });
+    io.run();
+    caller.join();
+    CHECK(received > BodyBytes);
+}
