Planned stop: refuse requests that have arrived in part

What callers saw: no byte for a request of which a part had arrived when the process of its instance ended.

Cause: only whole requests were counted and answered; the end of the process closed all other connections.

Evidence: one caller stopped in the middle of the head, one in the middle of the body; both connections close without an answer at the end of the grace time.

Why the fix works: reading such a request is cancelled when all requests must end, and the server refuses it with 503, as it does for one that is too slow. Nothing of it was sent to an upstream.

--- a/include/chestnutsill/net/httpserver.h
+++ b/include/chestnutsill/net/httpserver.h
@@ -49,6 +49,9 @@
     /// Stops accepting connections. Requests in progress continue.
     void stopAccepting();
 
+    /// Refuses the requests that have arrived in part, as not run.
+    void refuseUnfinished();
+
     /// Number of requests in progress.
     [[nodiscard]] int activeRequests() const noexcept;
 
--- a/src/daemon/platformdaemon.cpp
+++ b/src/daemon/platformdaemon.cpp
@@ -368,9 +368,13 @@
         while (now() < schedule.requestsEnd && (now() < earliestEnd || requestsInProgress() > 0))
             sleepFor(DrainPollInterval, fiber);
         const int ended = requestsInProgress();
+        m_state.leaving->requestsEnd = now();
         m_router.endRequests();
-        while (now() < schedule.processEnds && requestsInProgress() > 0)
+        m_callerServer.refuseUnfinished();
+        m_peerServer.refuseUnfinished();
+        do {
             sleepFor(FinalPollInterval, fiber);
+        } while (now() < schedule.processEnds && requestsInProgress() > 0);
         log(LogLevel::Info, "stopped",
             {{"ended", static_cast<std::int64_t>(ended)},
              {"cut", static_cast<std::int64_t>(requestsInProgress())}});
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <mutex>
+#include <set>
 #include <stdexcept>
 
 namespace chestnutsill {
@@ -32,6 +34,9 @@
     LimitsSource limits;
     Handler handler;
     std::atomic<int> active = 0;
+    std::mutex receivingMutex;
+    /// Connections on which a part of a request has arrived.
+    std::set<std::shared_ptr<beast::tcp_stream>> receiving;
 };
 
 namespace {
@@ -48,6 +53,8 @@
 
 HttpError errorFrom(const boost::system::error_code &error)
 {
+    if (error == boost::asio::error::operation_aborted)
+        return {503, "leaving", "request", "this instance stops before the request has arrived"};
     if (error == http::error::body_limit)
         return {413, "body-too-large", "body", "the body is larger than this instance accepts"};
     if (error == http::error::header_limit)
@@ -98,11 +105,39 @@
     std::shared_ptr<bool> m_fired;
 };
 
+/// Registers a connection while a request arrives on it.
+template<typename State>
+class Receiving
+{
+public:
+    Receiving(State &state, std::shared_ptr<beast::tcp_stream> stream)
+        : m_state(state)
+        , m_stream(std::move(stream))
+    {
+        const std::lock_guard lock(m_state.receivingMutex);
+        m_state.receiving.insert(m_stream);
+    }
+    ~Receiving()
+    {
+        const std::lock_guard lock(m_state.receivingMutex);
+        m_state.receiving.erase(m_stream);
+    }
+    Receiving(const Receiving &) = delete;
+    Receiving &operator=(const Receiving &) = delete;
+
+private:
+    State &m_state;
+    const std::shared_ptr<beast::tcp_stream> m_stream;
+};
+
 /// Reads one request. Returns nothing if the connection ends or stays idle for too long before the first
 /// byte.
-std::optional<HttpRequest> readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, Parser &parser,
-                                       const HttpLimits &limits, const Fiber &fiber)
+template<typename State>
+std::optional<HttpRequest> readRequest(State &state, const std::shared_ptr<beast::tcp_stream> &connection,
+                                       beast::flat_buffer &buffer, Parser &parser, const HttpLimits &limits,
+                                       const Fiber &fiber)
 {
+    beast::tcp_stream &stream = *connection;
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHead));
     parser.body_limit(limits.maxBody);
     boost::system::error_code error;
@@ -113,6 +148,7 @@
             return std::nullopt;
         buffer.commit(size);
     }
+    const Receiving receiving(state, connection);
     {
         const ReadDeadline deadline(stream, limits.headTimeout);
         http::async_read_header(stream, buffer, parser, fiber[error]);
@@ -157,8 +193,9 @@
 }
 
 template<typename State>
-void serve(State &state, beast::tcp_stream &stream, const Fiber &fiber)
+void serve(State &state, const std::shared_ptr<beast::tcp_stream> &connection, const Fiber &fiber)
 {
+    beast::tcp_stream &stream = *connection;
     // Bounds what a caller can make this instance hold with parts of a request that have no end.
     beast::flat_buffer buffer(state.limits().maxHead + MaxReadAheadBytes);
     boost::system::error_code ignored;
@@ -166,7 +203,7 @@
     for (;;) {
         Parser parser;
         const HttpLimits limits = state.limits();
-        auto request = readRequest(stream, buffer, parser, limits, fiber);
+        auto request = readRequest(state, connection, buffer, parser, limits, fiber);
         if (!request)
             return;
         const ActiveRequest active(state.active);
@@ -198,7 +235,7 @@
         const auto executor = socket.get_executor();
         auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
         boost::asio::spawn(
-            executor, [state, stream](const Fiber &connection) { serve(*state, *stream, connection); },
+            executor, [state, stream](const Fiber &connection) { serve(*state, stream, connection); },
             boost::asio::detached);
     }
 }
@@ -244,6 +281,19 @@
     });
 }
 
+void HttpServer::refuseUnfinished()
+{
+    const std::lock_guard lock(m_state->receivingMutex);
+    for (const auto &stream : m_state->receiving) {
+        boost::asio::post(stream->get_executor(), [state = m_state, stream] {
+            const std::lock_guard receivingLock(state->receivingMutex);
+            boost::system::error_code ignored;
+            if (state->receiving.contains(stream))
+                stream->socket().cancel(ignored);
+        });
+    }
+}
+
 int HttpServer::activeRequests() const noexcept
 {
     return m_state->active;
--- a/tests/entry/plannedstoptest.cpp
+++ b/tests/entry/plannedstoptest.cpp
@@ -147,3 +147,28 @@
     CHECK(statusOf(turn.get()) == 200);
     CHECK(site.instances()[0].process->waitForExit(10) == 0);
 }
+
+TEST_CASE("planned stop: a request that has arrived in part when the grace time ends is refused as not run")
+{
+    Site site("stop-half-received");
+    site.setTerminationGrace(2);
+    setRoute(site, 2, "timeout_ms", 15'000);
+    site.publishTable();
+    Site::commandUpstream(site.addUpstream("desk-1", "desk"), R"({"workMs":20000})");
+    site.start(1);
+    REQUIRE(site.waitReady());
+    auto booking = send(site, "/booking/x", "booking");
+    REQUIRE(waitUntil([&] { return site.runsOf("booking") == 1; }));
+    site.instances()[0].process->signal(SIGTERM);
+    const std::string address = site.address(0, site.callerPort());
+    auto half = std::async(std::launch::async, [&] {
+        return exchangeBytes(address, requestTo("/booking/x", "half", 1000, "{"), CallTimeout);
+    });
+    const RawAnswer head = exchangeBytes(address, "POST /booking/x HTTP/1.1\r\nHost: site.ex", CallTimeout);
+    for (const RawAnswer &answer : {half.get(), head}) {
+        CHECK(statusOf(answer) == 503);
+        CHECK(looksComplete(answer, true));
+    }
+    CHECK(statusOf(booking.get()) == 502);
+    CHECK(site.runsOf("half") == 0);
+}
