Soak: planned stops of instances in turn beside silent upstreams

The soak lacked callers that keep an address for three times its time and longer, streams of seconds, stops in turn of all instances, series of signals, and upstreams that are silent for a second meanwhile.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "checks.h"
 #include "faultinjector.h"
 #include "loadgenerator.h"
+#include "plannedstops.h"
 
 #include <boost/program_options.hpp>
 
@@ -44,6 +45,7 @@
 } // namespace
 
 /// Usage: chestnutsill-soak [--seed N] [--count N] [--seconds N] [--instances N] [--upstreams N]
+/// [--planned-stops]
 int main(int argc, char **argv)
 {
     std::uint64_t seed = 1;
@@ -51,6 +53,7 @@
     int seconds = 12;
     int instances = 4;
     int upstreams = 6;
+    bool plannedStops = false;
     options::options_description description("Randomized soak of real processes");
     auto add = description.add_options();
     add("seed", options::value(&seed), "first seed");
@@ -58,6 +61,8 @@
     add("seconds", options::value(&seconds), "duration of fault injection per seed");
     add("instances", options::value(&instances), "instances");
     add("upstreams", options::value(&upstreams), "upstreams, half of them engines");
+    add("planned-stops", options::bool_switch(&plannedStops),
+        "stop instances in turn beside silent upstreams, in place of random faults");
     options::variables_map values;
     try {
         options::store(options::parse_command_line(argc, argv, description), values);
@@ -68,7 +73,8 @@
     }
     int failed = 0;
     for (int i = 0; i < count; ++i) {
-        const auto violations = runSeed(seed + static_cast<std::uint64_t>(i), seconds, instances, upstreams);
+        const auto run = plannedStops ? soak::runPlannedStops : runSeed;
+        const auto violations = run(seed + static_cast<std::uint64_t>(i), seconds, instances, upstreams);
         for (const std::string &violation : violations)
             std::cout << "seed " << seed + static_cast<std::uint64_t>(i) << " BROKEN: " << violation << '\n';
         failed += violations.empty() ? 0 : 1;
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -144,6 +144,7 @@
     [[nodiscard]] const std::vector<Instance> &instances() const noexcept { return m_instances; }
     [[nodiscard]] std::string address(std::size_t instance, int port) const;
     [[nodiscard]] int callerPort() const noexcept { return m_callerPort; }
+    [[nodiscard]] int directoryPort() const noexcept { return m_directoryPort; }
 
     /// Writes the settings file of an instance, with `maxKeyConfirmationAgeMs` as its `revoke_ms`. A running
     /// instance reloads the file when it notices the change or receives SIGHUP.
