Planned stop: leave room for a silent second of the upstream

What callers saw: streams that were sent in the first seconds after the SIGTERM of their instance, and would have ended just in time, were broken off at the end of its grace time if their upstream was silent for a second meanwhile, although other instances served.

Cause: the longest of the last requests of a route was taken as the time that the next one needs. A silence of a sound upstream, of a second or so, comes on top of it.

Evidence: entry test with 29 streams of 4 s, sent in the first 2.9 s, and upstreams stopped for 1.3 s: the last five are in phase relayed when the process ends, the upstream was silent for 0.1 s then.

Why the fix works: while another instance serves, the tolerated silence is added before it is decided whether a request is accepted. The others go elsewhere at once. It is the time after which requests that wait at a silent upstream are sent elsewhere, now one constant.

Before: the entry test failed for five streams, now it passes.

--- a/include/chestnutsill/policy/silencedetector.h
+++ b/include/chestnutsill/policy/silencedetector.h
@@ -25,6 +25,8 @@
     static constexpr milliseconds CheckPeriod{50};
     /// Shortest silence that raises a suspicion.
     static constexpr milliseconds MinSilence{150};
+    /// A sound upstream may send nothing for a second or so, and goes on with what it runs.
+    static constexpr milliseconds ToleratedSilence{1500};
     /// Time for which reports of peers about an upstream are ignored after one has proved wrong.
     static constexpr std::chrono::seconds ReportQuietTime{30};
 
--- a/src/policy/leavingschedule.cpp
+++ b/src/policy/leavingschedule.cpp
@@ -1,5 +1,7 @@
 #include "chestnutsill/policy/leavingschedule.h"
 
+#include "chestnutsill/policy/silencedetector.h"
+
 #include <algorithm>
 
 namespace chestnutsill {
@@ -32,8 +34,10 @@
         return true;
     if (now >= schedule.addressesExpire)
         return false;
-    if (request.usualDuration)
-        return now + *request.usualDuration <= schedule.requestsEnd;
+    if (request.usualDuration) {
+        const Instant silence = request.othersServe ? SilenceDetector::ToleratedSilence : milliseconds(0);
+        return now + *request.usualDuration + silence <= schedule.requestsEnd;
+    }
     return !request.othersServe && now + (request.deadline - now) / AssumedDivisor <= schedule.requestsEnd;
 }
 
--- a/src/router/upstreamhealth.cpp
+++ b/src/router/upstreamhealth.cpp
@@ -33,9 +33,6 @@
 /// Health checks without a response after which requests that wait at the upstream are sent elsewhere: a
 /// single one may have been lost on the network.
 constexpr int ChecksBeforeRetry = 2;
-/// Silence after which they are. A sound upstream may send nothing for a second or so, and goes on with what
-/// it runs.
-constexpr milliseconds SilenceBeforeRetry{1500};
 
 enum class HealthResult {
     Answered,
@@ -239,11 +236,11 @@
         } else if (detector.isSuspected(upstream)) {
             recordSilence(upstream, silence);
             const Instant silentFor = silence + now() - start;
-            if (checks >= ChecksBeforeRetry && silentFor >= SilenceBeforeRetry)
+            if (checks >= ChecksBeforeRetry && silentFor >= SilenceDetector::ToleratedSilence)
                 retryElsewhere(upstream);
-            else if (silentFor + pause > SilenceBeforeRetry)
+            else if (silentFor + pause > SilenceDetector::ToleratedSilence)
                 pause = std::chrono::ceil<milliseconds>(
-                    std::max<Instant>(SilenceBeforeRetry - silentFor, FirstHealthPause));
+                    std::max<Instant>(SilenceDetector::ToleratedSilence - silentFor, FirstHealthPause));
             sleepFor(pause, fiber);
             pause = std::min(2 * pause, MaxHealthPause);
         }
--- a/tests/entry/plannedstoptest.cpp
+++ b/tests/entry/plannedstoptest.cpp
@@ -172,3 +172,52 @@
     CHECK(statusOf(booking.get()) == 502);
     CHECK(site.runsOf("half") == 0);
 }
+
+TEST_CASE(
+    "planned stop: streams that are sent early enough to be served are whole although upstreams fall silent")
+{
+    constexpr int Events = 40;
+    Site site("stop-silent-upstreams");
+    site.setTerminationGrace(8);
+    for (const std::size_t route : {3U, 4U})
+        setRoute(site, route, "timeout_ms", 12'000);
+    site.publishTable();
+    for (const char *id : {"chat-1", "chat-2"})
+        Site::commandUpstream(site.addUpstream(id, "chat"), R"({"events":40,"eventMs":100})");
+    site.start(2);
+    REQUIRE(site.waitReady());
+    // The instance learns how long the streams take.
+    const std::vector<const char *> paths{"/stream/stream/x", "/streamonce/stream/x"};
+    std::vector<std::future<std::optional<HttpResponse>>> earlier;
+    for (int i = 0; i < 20; ++i) {
+        earlier.push_back(std::async(std::launch::async, [&, i] {
+            return site.call(0,
+                             callTo(paths[static_cast<std::size_t>(i) % 2], "earlier-" + std::to_string(i)));
+        }));
+    }
+    for (auto &answer : earlier)
+        REQUIRE(answer.get());
+    site.instances()[0].process->signal(SIGTERM);
+    std::vector<std::future<RawAnswer>> streams;
+    for (std::size_t i = 0; i < 29; ++i) {
+        streams.push_back(send(site, paths[i % 2], "late-" + std::to_string(i)));
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    std::this_thread::sleep_for(milliseconds(2000));
+    for (std::size_t i = 0; i < site.upstreamCount(); ++i)
+        site.upstreamAt(i).process->signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(1300));
+    for (std::size_t i = 0; i < site.upstreamCount(); ++i)
+        site.upstreamAt(i).process->signal(SIGCONT);
+    int whole = 0;
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        CAPTURE(i);
+        const RawAnswer answer = streams[i].get();
+        CHECK(looksComplete(answer, true));
+        const bool isServed = statusOf(answer) == 200;
+        CHECK((isServed || statusOf(answer) == 503));
+        CHECK(isServed == (answer.bytes.find("id: " + std::to_string(Events) + "\n") != std::string::npos));
+        whole += isServed ? 1 : 0;
+    }
+    CHECK(whole > 0);
+}
