Streams: go on only with events that follow those that the caller has

What callers saw: after a stream broke off, the text of another response, such as an error page, an error event or events that they already had, in the middle of their stream, with a proper end.

Cause: a continuation was recognized by its status. What a response with status 200 held was passed on by its empty lines, whatever its type and ids.

Evidence: of 14 responses of a second upstream seven reached the caller as part of a complete stream: type text/html in three framings, no type, a stream without ids, one that begins anew, an error event.

Why the fix works: the first event of a continuation, within a response or when a caller takes a stream up, must have an id after that of the last event. Otherwise nothing of it is passed on, the connection is given up, and the next upstream is tried.

Before: entry "broken off: a stream goes on only with events that follow" failed 14 checks for these seven responses; now none of the 14 reaches the caller, and a real continuation does.

--- a/include/chestnutsill/router/eventsplitter.h
+++ b/include/chestnutsill/router/eventsplitter.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace chestnutsill {
 
@@ -27,6 +28,13 @@
         m_eventCount = 0;
     }
 
+    /// Discards all events since the one with this id, which were not forwarded.
+    void rewind(std::string lastEventId) noexcept
+    {
+        reset();
+        m_lastEventId = std::move(lastEventId);
+    }
+
     /// Id of the last complete event that has one; empty before the first.
     [[nodiscard]] const std::string &lastEventId() const noexcept { return m_lastEventId; }
 
@@ -39,4 +47,16 @@
     std::size_t m_eventCount = 0;
 };
 
+/// Whether events go on with a stream.
+enum class Continuation {
+    Follows,
+    /// The events hold only comments and reconnection times, which belong to no place in a stream.
+    Unknown,
+    Differs,
+};
+
+/// Whether complete events follow the one with id `lastId`: the first of them has an id, which comes after
+/// `lastId` if both are numbers, and is another one otherwise.
+[[nodiscard]] Continuation continuationOf(std::string_view events, std::string_view lastId);
+
 } // namespace chestnutsill
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -335,6 +335,10 @@
 {
     EventSplitter &splitter = context.eventSplitter;
     splitter.reset();
+    // The last event that the caller has, from this response or from an earlier one.
+    const std::string lastId =
+        splitter.lastEventId().empty() ? context.request.lastEventId : splitter.lastEventId();
+    bool isProven = !continuesStream(context) || lastId.empty();
     for (;;) {
         const auto piece = readPiece(m_state, context, attempt, fiber);
         if (!piece) {
@@ -348,6 +352,15 @@
         }
         const std::size_t eventsBefore = splitter.eventCount();
         const std::string events = splitter.push(*piece);
+        const Continuation continuation = isProven ? Continuation::Follows : continuationOf(events, lastId);
+        if (continuation == Continuation::Differs) {
+            splitter.rewind(lastId);
+            recordFailure(attempt, AttemptResult::Broken,
+                          "the events don't follow those that the caller has");
+            attempt.connectionBroke = false;
+            return;
+        }
+        isProven = continuation == Continuation::Follows;
         if (eventsBefore == 0 && splitter.eventCount() > 0 && !beginEvents(context, attempt)) {
             recordFailure(attempt, AttemptResult::Broken, "the upstream may run another software version");
             attempt.connectionBroke = false;
--- a/src/router/eventsplitter.cpp
+++ b/src/router/eventsplitter.cpp
@@ -2,31 +2,60 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cstdint>
+#include <optional>
 
 namespace chestnutsill {
 
 namespace {
 
+/// Removes the first line from `text` and returns it without its end.
+std::string_view takeLine(std::string_view &text)
+{
+    const auto end = text.find('\n');
+    std::string_view line = text.substr(0, end);
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    return line;
+}
+
+/// Value of an `id:` field; nothing if the line is none.
+std::optional<std::string_view> idIn(std::string_view line)
+{
+    constexpr std::string_view Field = "id:";
+    if (!line.starts_with(Field))
+        return std::nullopt;
+    std::string_view id = line.substr(Field.size());
+    id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
+    return id;
+}
+
 /// Value of the last `id:` field in `events`; empty if there is none, in which case the last id stays in
 /// effect.
 std::string_view lastIdIn(std::string_view events)
 {
-    constexpr std::string_view Field = "id:";
     std::string_view id;
-    while (!events.empty()) {
-        const auto end = events.find('\n');
-        std::string_view line = events.substr(0, end);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        if (line.starts_with(Field)) {
-            id = line.substr(Field.size());
-            id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
-        }
-        events = end == std::string_view::npos ? std::string_view() : events.substr(end + 1);
-    }
+    while (!events.empty())
+        id = idIn(takeLine(events)).value_or(id);
     return id;
 }
 
+/// Whether an id comes after another one.
+bool comesAfter(std::string_view id, std::string_view lastId)
+{
+    const auto numberOf = [](std::string_view text) {
+        std::uint64_t number = 0;
+        const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        const bool isNumber = error == std::errc() && stop == text.data() + text.size();
+        return isNumber ? std::optional(number) : std::nullopt;
+    };
+    const auto number = numberOf(id);
+    const auto last = numberOf(lastId);
+    return number && last ? *number > *last : !id.empty() && id != lastId;
+}
+
 /// The empty lines that end an event, with the end of the line before.
 constexpr std::array<std::string_view, 2> EndMarks{"\n\n", "\n\r\n"};
 
@@ -68,4 +97,22 @@
     return events;
 }
 
+Continuation continuationOf(std::string_view events, std::string_view lastId)
+{
+    std::string_view id;
+    bool hasContent = false;
+    while (!events.empty()) {
+        const std::string_view line = takeLine(events);
+        id = idIn(line).value_or(id);
+        const bool isNeutral = line.empty() || line.starts_with(':') || line.starts_with("retry:");
+        hasContent = hasContent || !isNeutral;
+        if (!line.empty())
+            continue;
+        if (hasContent)
+            return comesAfter(id, lastId) ? Continuation::Follows : Continuation::Differs;
+        id = {};
+    }
+    return Continuation::Unknown;
+}
+
 } // namespace chestnutsill
--- a/tests/entry/brokenofftest.cpp
+++ b/tests/entry/brokenofftest.cpp
@@ -262,3 +262,56 @@
             checkBroken(site, "head", path, {head, "", 0});
     }
 }
+
+TEST_CASE("broken off: a stream goes on only with events that follow those that its caller has")
+{
+    RawSite site("continuation");
+    const std::string events = Event + "id: 2\ndata: a\n\n";
+    const RawResponse begun{inChunks(StreamHead) + chunk(events + HalfEvent), "", 0};
+    const std::string other = "other\n\n";
+    const std::string attempt = "\r\nX-Attempt-Id: {id}\r\n";
+    const std::string html =
+        "HTTP/1.1 200 OK" + attempt + "X-Server-Seal: raw\r\nContent-Type: text/html\r\n";
+    const std::string untyped = "HTTP/1.1 200 OK" + attempt + "X-Server-Seal: raw\r\n";
+    const std::string error = "HTTP/1.1 500 Failed" + attempt + "Content-Type: text/event-stream\r\n";
+    const std::string partial = "HTTP/1.1 206 Partial" + attempt + "Content-Type: text/event-stream\r\n";
+    const std::string refusal = "HTTP/1.1 503 Full" + attempt + "X-Not-Executed: 1\r\n";
+    const std::string repeated = Event + "id: 2\ndata: other\n\n";
+    const std::vector<std::string> responses{
+        withLength(html, other.size()) + other,
+        inChunks(html) + chunk(other) + "0\r\n\r\n",
+        html + "\r\n" + other,
+        withLength(untyped, other.size()) + other,
+        withLength(error, other.size()) + other,
+        inChunks(error) + chunk(other) + "0\r\n\r\n",
+        withLength(partial, other.size()) + other,
+        withLength(refusal, other.size()) + other,
+        withLength("HTTP/1.1 404 Gone" + attempt, other.size()) + other,
+        "other\r\n\r\nother\n\n",
+        "HTTP/1.1 200 OK" + attempt + "other",
+        inChunks(StreamHead) + chunk("data: other\n\n") + "0\r\n\r\n",
+        inChunks(StreamHead) + chunk(repeated) + "0\r\n\r\n",
+        inChunks(StreamHead) + chunk("event: error\ndata: other\n\n") + "0\r\n\r\n",
+    };
+    for (const std::string &response : responses) {
+        CAPTURE(response);
+        site.use(begun, {response, "", 0});
+        const RawAnswer answer = site.call("/stream/", "1.1");
+        CHECK(statusOf(answer) == 200);
+        CHECK_FALSE(looksComplete(answer, true));
+        CHECK(answer.bytes.find("id: 2") != std::string::npos);
+        CHECK(answer.bytes.find("other") == std::string::npos);
+        CHECK(answer.bytes.find("HTTP/1.1", 1) == std::string::npos);
+        CHECK(site.server().requests() >= 2);
+    }
+    // A caller that takes a stream up itself gets no event twice either.
+    site.use(begun, {inChunks(StreamHead) + chunk(repeated) + "0\r\n\r\n", "", 0});
+    const std::string takenUp =
+        "Resumes: broken-" + std::to_string(site.calls() + 1) + "\r\nLast-Event-Id: 2\r\n";
+    CHECK(statusOf(site.call("/stream/", "1.1")) == 200);
+    const RawAnswer again = site.call("/stream/", "1.1", "{}", {}, takenUp);
+    CHECK(again.bytes.find("other") == std::string::npos);
+    CHECK_FALSE((statusOf(again) == 200 && looksComplete(again, true)));
+    site.use(begun, {inChunks(StreamHead) + chunk("id: 3\ndata: a\n\n") + "0\r\n\r\n", "", 0});
+    CHECK(looksComplete(site.call("/stream/", "1.1"), true));
+}
