Streaming routes: pass on a success that is no event stream as a whole

What callers saw: a response that breaks off, for a whole success of another type on a streaming route.

Cause: each response with status 200 there was split at its empty lines, and what follows the last one was held back as an incomplete event.

Evidence: JSON with an empty line inside, with a length and in chunks, on both kinds of streaming route.

Why the fix works: a response with a type other than text/event-stream is relayed like that of any other route.

--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -107,6 +107,14 @@
     return splitter.pendingBytes().empty() && (splitter.eventCount() > 0 || !head.endsWithConnection);
 }
 
+/// Whether a successful response on a streaming route is a stream. One without a type is taken for it.
+bool isEventStream(const HttpHead &head)
+{
+    constexpr std::string_view Type = "text/event-stream";
+    const std::string_view type = head.field("Content-Type");
+    return type.empty() || equalsIgnoringCase(type.substr(0, Type.size()), Type);
+}
+
 void recordFailure(UpstreamAttempt &attempt, AttemptResult result, std::string reason)
 {
     attempt.connectionBroke =
@@ -226,7 +234,8 @@
             recordAnswerBegun(context, attempt, head->status);
             const HttpHead forwardedHead{head->status, std::move(response.fields), head->length,
                                          head->keepAlive, head->endsWithConnection};
-            const bool isStream = context.route->kind == RouteKind::Streaming && head->status == StatusOk;
+            const bool isStream = context.route->kind == RouteKind::Streaming && head->status == StatusOk
+                                  && isEventStream(*head);
             if (isStream) {
                 relayEventStream(context, attempt, forwardedHead, fiber);
             } else if (context.responseStarted) {
--- a/tests/entry/brokenofftest.cpp
+++ b/tests/entry/brokenofftest.cpp
@@ -315,3 +315,21 @@
     site.use(begun, {inChunks(StreamHead) + chunk("id: 3\ndata: a\n\n") + "0\r\n\r\n", "", 0});
     CHECK(looksComplete(site.call("/stream/", "1.1"), true));
 }
+
+TEST_CASE("broken off: a success on a streaming route that is no event stream is passed on whole")
+{
+    RawSite site("no-event-stream");
+    const std::string body = "a\n\nb";
+    const std::string head = PlainHead + "Content-Type: application/json\r\n";
+    for (const std::string path : {"/stream/", "/streamonce/"}) {
+        for (const std::string &bytes :
+             {withLength(head, body.size()) + body, inChunks(head) + chunk(body) + "0\r\n\r\n"}) {
+            CAPTURE(bytes);
+            site.use({bytes, "", 0});
+            const RawAnswer answer = site.call(path, "1.1");
+            CHECK(statusOf(answer) == 200);
+            CHECK(looksComplete(answer, true));
+            CHECK(answer.bytes.find(body) != std::string::npos);
+        }
+    }
+}
