Own interface: refuse what has arrived in part when the instance stops

The same gap as on the platform: after the drain time a request that had arrived in part got no answer at the end of the process. By reading; the net test shows the server's part, on which both interfaces rest.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -159,6 +159,7 @@
         while (m_server->activeRequests() + m_pipeline.forwardedRequests() > 0 || m_slots.heldCount() > 0)
             sleepFor(DrainPollInterval, fiber);
         m_server->stopAccepting();
+        m_server->refuseUnfinished();
         sleepFor(DrainPollInterval, fiber);
         log(LogLevel::Info, "stopped", {});
         m_io.stop();
--- a/tests/net/httpservertest.cpp
+++ b/tests/net/httpservertest.cpp
@@ -38,6 +38,19 @@
     REQUIRE(::send(connection, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
 }
 
+/// Receives until the connection ends.
+std::string receiveText(int connection)
+{
+    std::string text;
+    std::array<char, 4096> buffer{};
+    for (;;) {
+        const auto count = ::recv(connection, buffer.data(), buffer.size(), 0);
+        if (count <= 0)
+            return text;
+        text.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+}
+
 /// Receives slowly, so that the server's last bytes wait in its socket, until the connection ends. Returns
 /// the number of bytes.
 std::size_t receiveAll(int connection)
@@ -79,3 +92,34 @@
     caller.join();
     CHECK(received > BodyBytes);
 }
+
+TEST_CASE(
+    "http server: a request that has arrived in part is refused when the server is told to, others are not")
+{
+    boost::asio::io_context io;
+    int handled = 0;
+    HttpServer server(io, ServerAddress, HttpLimits{}, [&](Exchange &exchange, const Fiber &fiber) {
+        ++handled;
+        const auto &error = exchange.request().error;
+        exchange.respond(error ? error->status : 200, "text/plain", "", {}, fiber);
+    });
+    std::thread caller([&] {
+        const int idle = connectToServer();
+        const int half = connectToServer();
+        sendText(half, "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nbo");
+        // A whole request after it shows that the part has been read.
+        const int whole = connectToServer();
+        sendText(whole, "GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        REQUIRE(receiveText(whole).starts_with("HTTP/1.1 200"));
+        server.refuseUnfinished();
+        CHECK(receiveText(half).starts_with("HTTP/1.1 503"));
+        sendText(idle, "GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        CHECK(receiveText(idle).starts_with("HTTP/1.1 200"));
+        for (const int connection : {idle, half, whole})
+            ::close(connection);
+        io.stop();
+    });
+    io.run();
+    caller.join();
+    CHECK(handled == 3);
+}
