Tests: stops at either end of a hand-over, and at both

A booking and a plain request that a peer holds get a whole 502 when the instance that handed them over, the peer, or both are stopped with two seconds of grace time, and the booking runs once.

--- a/tests/entry/cutofftest.cpp
+++ b/tests/entry/cutofftest.cpp
@@ -218,6 +218,34 @@
     CHECK(site.allRuns().count("drained-booking") == 1);
 }
 
+TEST_CASE("cut off: requests that a peer holds get a whole answer when either instance or both must end")
+{
+    // Instances that get SIGTERM.
+    const std::vector<std::vector<std::size_t>> stops{{0}, {1}, {0, 1}};
+    for (const auto &stopped : stops) {
+        CAPTURE(stopped.size());
+        CAPTURE(stopped[0]);
+        Site site("cut-off-stops");
+        site.setTerminationGrace(2);
+        for (const std::size_t route : {0U, 2U})
+            site.table().at("routes").as_array().at(route).as_object()["timeout_ms"] = 15'000;
+        site.publishTable();
+        startCutOff(site, 2);
+        for (std::size_t i = 0; i < site.upstreamCount(); ++i)
+            Site::commandUpstream(site.upstreamAt(i), R"({"workMs":20000})");
+        auto booking = callAndWaitForRun(site, "/booking/", "held-booking");
+        auto plain = callAndWaitForRun(site, "/plain/", "held-plain");
+        for (const std::size_t instance : stopped)
+            site.instances()[instance].process->signal(SIGTERM);
+        for (auto *answer : {&booking, &plain}) {
+            const auto response = answer->get();
+            REQUIRE(response);
+            CHECK(response->head.status == 502);
+        }
+        CHECK(site.allRuns().count("held-booking") == 1);
+    }
+}
+
 TEST_CASE("cut off: a caller that leaves ends the work at the upstream")
 {
     Site site("cut-off-caller-leaves");
