Router: one answer for requests that are given up

A request whose caller leaves while it waits for a permit was logged as refused for a planned stop since such waits can be interrupted. Requests whose caller has gone and those that a stop ends now get their answer from one function.

--- a/include/chestnutsill/router/router.h
+++ b/include/chestnutsill/router/router.h
@@ -134,8 +134,8 @@
 private:
     void serve(RequestContext &context, const Fiber &fiber);
     void logInProgress(const RequestContext &context) const;
-    /// The answer to a request that this instance can't complete because it stops.
-    [[nodiscard]] Answer answerStopped(RequestContext &context) const;
+    /// The answer to a request that is given up, because its caller has gone or this instance stops.
+    [[nodiscard]] Answer answerGivenUp(RequestContext &context) const;
     [[nodiscard]] std::optional<Answer> resolveRoute(RequestContext &context) const;
     /// Whether another instance serves callers, as far as is known.
     [[nodiscard]] bool othersServe() const;
--- a/src/router/choose.cpp
+++ b/src/router/choose.cpp
@@ -290,7 +290,7 @@
             return std::nullopt;
         attempt = UpstreamAttempt{};
         if (isGivenUp(context))
-            return refuseLeaving(context);
+            return answerGivenUp(context);
     }
 }
 
--- a/src/router/handover.cpp
+++ b/src/router/handover.cpp
@@ -114,13 +114,8 @@
         if (!isGivenUp(context))
             m_state.handOverTargets.recordUnable(peer->name, context.serviceName, now());
     }
-    if (context.callerGone) {
-        answer =
-            refusal(502, Verdict::MayHaveRun, "caller-gone", "caller", "the caller closed its connection");
-        return true;
-    }
-    if (context.stopped) {
-        answer = answerStopped(context);
+    if (isGivenUp(context)) {
+        answer = answerGivenUp(context);
         return true;
     }
     if (context.possibleRuns > 0) {
@@ -220,7 +215,7 @@
         return HandOverResult::Ended;
     }
     if (context.stopped) {
-        answer = answerStopped(context);
+        answer = answerGivenUp(context);
         return HandOverResult::Ended;
     }
     // The connection to the peer broke, so that the request may run again if it is idempotent.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -185,12 +185,12 @@
             return answer;
         if (context.handedOver && context.possibleRuns == 0 && reachesNone(context))
             return refuseNotRun(OutOfReach, "this instance reaches no upstream of the service");
-        if (context.stopped)
-            return answerStopped(context);
+        if (isGivenUp(context))
+            return answerGivenUp(context);
         UpstreamAttempt attempt;
         if (auto refused = choosePermittedUpstream(context, attempt, fiber)) {
-            if (context.stopped)
-                return answerStopped(context);
+            if (isGivenUp(context))
+                return answerGivenUp(context);
             if (context.possibleRuns > 0)
                 return refusal(502, Verdict::MayHaveRun, "upstream-failed", "upstream", "an upstream failed");
             return refused;
@@ -206,13 +206,10 @@
         m_state.crashTracker.recordStart(attempt.upstream, context.fingerprint, context.sharedParts);
         send(context, attempt, fiber);
         finishAttempt(context, attempt, fiber);
-        if (context.callerGone)
-            return refusal(502, Verdict::MayHaveRun, "caller-gone", "caller",
-                           "the caller closed its connection");
-        if (context.responseEnded)
+        if (context.responseEnded && !context.callerGone)
             return std::nullopt;
-        if (context.stopped)
-            return answerStopped(context);
+        if (isGivenUp(context))
+            return answerGivenUp(context);
         context.retryTaken = attempt.retryGranted || mayRetry(context, attempt);
         if (context.retryTaken)
             continue;
--- a/src/router/stopping.cpp
+++ b/src/router/stopping.cpp
@@ -42,8 +42,10 @@
     return refuseNotRun("leaving", "this instance is about to stop");
 }
 
-Answer Router::answerStopped(RequestContext &context) const
+Answer Router::answerGivenUp(RequestContext &context) const
 {
+    if (context.callerGone)
+        return refusal(502, Verdict::MayHaveRun, "caller-gone", "caller", "the caller closed its connection");
     if (context.possibleRuns == 0)
         return refuseLeaving(context);
     return refusal(502, Verdict::MayHaveRun, "leaving", "instance",
