Tests: sockets of raw callers are not inherited; the soak tells how a connection ended

Instances that a test starts again inherited the connections of its callers, so that an instance did not learn that a caller had closed one.

--- a/tests/soak/plannedstops.cpp
+++ b/tests/soak/plannedstops.cpp
@@ -55,6 +55,8 @@
     int status = 0;
     bool isComplete = false;
     bool isWhole = false;
+    /// How the connection ended, for the report.
+    std::string end;
 };
 
 struct Stop
@@ -229,6 +231,10 @@
         outcome.isComplete = support::looksComplete(answer, true);
         outcome.isWhole = !outcome.route->isStream
                           || answer.bytes.find("id: " + std::to_string(m_events) + "\n") != std::string::npos;
+        outcome.end = answer.end == RawAnswer::End::Closed  ? "closed"
+                      : answer.end == RawAnswer::End::Reset ? "reset"
+                                                            : "error " + std::to_string(answer.error);
+        outcome.end += " after " + std::to_string(answer.bytes.size()) + " bytes";
         // Callers that are refused or find nobody wait for a moment.
         if (outcome.status != 200)
             std::this_thread::sleep_for(milliseconds(100));
@@ -266,7 +272,7 @@
                 fault = "was refused as not run, but ran";
             else if (!outcome.isComplete && !isExcused(outcome, count))
                 fault = "got no complete response, " + std::to_string(outcome.endMs - outcome.sentMs)
-                        + " ms after it was sent" + describeStop(outcome);
+                        + " ms after it was sent" + describeStop(outcome) + ", " + outcome.end;
             else if (outcome.isComplete && outcome.status == 200 && !outcome.isWhole)
                 fault = "ended as complete without its last event";
             if (!fault.empty())
--- a/tests/support/rawcaller.cpp
+++ b/tests/support/rawcaller.cpp
@@ -42,7 +42,7 @@
     endpoint.sin_family = AF_INET;
     endpoint.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
     ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &endpoint.sin_addr);
-    const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int connection = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const timeval wait{timeout.count() / 1000, (timeout.count() % 1000) * 1000};
     ::setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
     bool open = ::connect(connection, reinterpret_cast<sockaddr *>(&endpoint), sizeof endpoint) == 0;
@@ -51,6 +51,7 @@
     while (open) {
         const auto count = ::recv(connection, buffer.data(), buffer.size(), 0);
         if (count <= 0) {
+            answer.error = count == 0 ? 0 : errno;
             answer.end = count == 0            ? RawAnswer::End::Closed
                          : errno == ECONNRESET ? RawAnswer::End::Reset
                                                : RawAnswer::End::TimedOut;
--- a/tests/support/rawcaller.h
+++ b/tests/support/rawcaller.h
@@ -12,6 +12,8 @@
 {
     std::string bytes;
     enum class End { Closed, Reset, TimedOut } end = End::TimedOut;
+    /// Error code of the last call that failed; 0 if the connection was closed properly.
+    int error = 0;
 };
 
 /// Opens a connection, sends bytes and receives until the connection ends, for at most `timeout`. `onBytes`,
