Tests: a raw caller goes on after a signal

Receiving has a timeout, and such a call is not restarted after a signal. No check changes: the caller receives until the connection ends or its time is over.

--- a/tests/support/rawcaller.cpp
+++ b/tests/support/rawcaller.cpp
@@ -50,6 +50,9 @@
     std::array<char, 16'384> buffer{};
     while (open) {
         const auto count = ::recv(connection, buffer.data(), buffer.size(), 0);
+        // A call with a timeout is not restarted after a signal, such as one about a child that was stopped.
+        if (count < 0 && errno == EINTR)
+            continue;
         if (count <= 0) {
             answer.error = count == 0 ? 0 : errno;
             answer.end = count == 0            ? RawAnswer::End::Closed
