--- a/review/support-2/http.h
+++ b/review/support-2/http.h
@@ -294,7 +294,8 @@
     {
         m_stopped = true;
         ::shutdown(m_fd, SHUT_RDWR);
-        m_acceptor.join();
+        if (m_acceptor.joinable())
+            m_acceptor.join();
         ::close(m_fd);
         endConnections();
         while (m_active > 0)
@@ -311,6 +312,14 @@
             connection->end(reset);
     }
 
+    /// Stops accepting and resets all connections, as when the process behind them crashes.
+    void crash()
+    {
+        m_stopped = true;
+        ::shutdown(m_fd, SHUT_RDWR);
+        endConnections(true);
+    }
+
 private:
     void accept()
     {
