--- a/review/support-2/replica.h
+++ b/review/support-2/replica.h
@@ -16,8 +16,6 @@
         std::string attempt;
         std::string path;
         std::string account;
-        /// Port of the connection at the machine that sent it, and its IP address.
-        std::string machine;
     };
     struct Options
     {
@@ -58,12 +56,7 @@
             const std::lock_guard lock(m_mutex);
             if (!m_options.serverLimit.empty())
                 headers.emplace_back("Server-Limit", m_options.serverLimit);
-            sockaddr_in peer{};
-            socklen_t size = sizeof peer;
-            ::getpeername(connection.fd(), reinterpret_cast<sockaddr *>(&peer), &size);
-            char text[INET_ADDRSTRLEN] = {};
-            ::inet_ntop(AF_INET, &peer.sin_addr, text, sizeof text);
-            m_runs.push_back({Clock::now(), attempt, request.target(), request.field("X-Tenant"), text});
+            m_runs.push_back({Clock::now(), attempt, request.target(), request.field("X-Tenant")});
         }
         if (request.target().find("/stream") != 0)
             return connection.send(response(200, headers, "body of " + attempt));
--- a/review/support-2/site.h
+++ b/review/support-2/site.h
@@ -327,7 +327,6 @@
     return ntohs(address.sin_port);
 }
 
-/// Text of a file relative to the folder of the case.
 struct SiteOptions
 {
     int instances = 3;
@@ -341,7 +340,7 @@
 public:
     explicit Site(const SiteOptions &options)
         : m_options(options)
-        , m_network("127." + std::to_string(20 + ::getpid() % 200) + ".1.")
+        , m_network("127." + std::to_string(20 + ::getpid() % 200) + '.' + std::to_string(1 + ::getpid() / 200 % 250) + '.')
         , m_folder(std::filesystem::temp_directory_path() / ("review-" + std::to_string(::getpid())))
     {
         std::filesystem::create_directories(m_folder);
