--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -40,7 +40,8 @@
 {
     std::string parts;
     for (int i = 0; i + 1 < sharedParts(); ++i)
-        parts += hexadecimal(0x5c1e0000U + static_cast<unsigned>(i)) + ':' + std::to_string(BlockTokens) + ',';
+        parts +=
+            hexadecimal(0x5c1e0000U + static_cast<unsigned>(i)) + ':' + std::to_string(BlockTokens) + ',';
     parts += (isCrashing ? CrashingPart : "5c1effff") + ':' + std::to_string(BlockTokens) + ',';
     return parts + hexadecimal(0x10000000U + request) + ':' + std::to_string(OwnTokens);
 }
@@ -86,11 +87,14 @@
     {
         ++m_born;
         m_crashed = false;
-        m_server = std::make_unique<Server>(
-            m_ip, m_port, [this](Connection &connection, Message &request) { return handle(connection, request); });
-        m_site.store->put("servers/" + m_id, "{\"service\":\"llm\",\"address\":\"" + m_ip + ':' + std::to_string(m_port)
-                                                 + R"(","zone":"a","version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":4,"born":)"
-                                                 + std::to_string(m_born) + "}");
+        m_server = std::make_unique<Server>(m_ip, m_port, [this](Connection &connection, Message &request) {
+            return handle(connection, request);
+        });
+        m_site.store->put(
+            "servers/" + m_id,
+            "{\"service\":\"llm\",\"address\":\"" + m_ip + ':' + std::to_string(m_port)
+                + R"(","zone":"a","version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":4,"born":)"
+                + std::to_string(m_born) + "}");
     }
 
     void supervise()
@@ -128,14 +132,17 @@
             if (!m_crashed.exchange(true)) {
                 const std::lock_guard lock(m_history.mutex);
                 m_history.crashes.push_back(Clock::now());
-                m_record.line(m_id + " crashes on " + attempt + ", crash " + std::to_string(m_history.crashes.size()));
+                m_record.line(m_id + " crashes on " + attempt + ", crash "
+                              + std::to_string(m_history.crashes.size()));
                 m_server->crash();
             }
             return false;
         }
         std::this_thread::sleep_for(milliseconds(30));
-        std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: " + m_id + '.' + attempt
-                           + "\r\nKeep-Alive: timeout=10\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: " + m_id + '.'
+                           + attempt
+                           + "\r\nKeep-Alive: timeout=10\r\nContent-Type: "
+                             "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         if (!connection.send(head))
             return false;
         for (int i = 1; i <= 20; ++i) {
@@ -190,10 +197,12 @@
         const std::string attempt = (isCrashing ? "bad" : "ok") + std::to_string(number);
         Headers headers = requestHeaders(attempt, "key-1", 8000);
         headers.emplace_back("X-Model", "m");
-        headers.emplace_back("X-Token-Count", std::to_string(sharedParts() * BlockTokens + OwnTokens) + ",80");
+        headers.emplace_back("X-Token-Count",
+                             std::to_string(sharedParts() * BlockTokens + OwnTokens) + ",80");
         headers.emplace_back("X-Prefix-Hash", promptParts(number, isCrashing));
-        const auto answer = call(site.ip(static_cast<int>(number) % Instances), site.frontend(), "POST", "/stream/x", headers,
-                                 "{\"n\":" + std::to_string(number) + "}", milliseconds(8000));
+        const auto answer =
+            call(site.ip(static_cast<int>(number) % Instances), site.frontend(), "POST", "/stream/x", headers,
+                 "{\"n\":" + std::to_string(number) + "}", milliseconds(8000));
         if (isCrashing)
             return;
         const bool hasBegun = answer && answer->status() == 200;
@@ -236,15 +245,19 @@
                 continue;
             ++late;
             record.line(arrival.attempt + " reached " + arrival.replica + ' '
-                        + std::to_string(std::chrono::duration_cast<milliseconds>(arrival.at - history.crashes[Crashes - 1]).count())
+                        + std::to_string(std::chrono::duration_cast<milliseconds>(
+                                             arrival.at - history.crashes[Crashes - 1])
+                                             .count())
                         + " ms after the fifth crash");
         }
     }
-    // For the rule LOST, which the result doesn't depend on: the other requests before, and from 6 s after the fifth crash.
+    // For the rule LOST, which the result doesn't depend on: the other requests before, and from 6 s after
+    // the fifth crash.
     std::pair<int, int> before;
     std::pair<int, int> after;
     for (const auto &[at, hasBegun] : others) {
-        const bool isAfter = history.crashes.size() >= Crashes && at >= history.crashes[Crashes - 1] + 2 * Contact;
+        const bool isAfter =
+            history.crashes.size() >= Crashes && at >= history.crashes[Crashes - 1] + 2 * Contact;
         if (at >= troubleAt && !isAfter)
             continue;
         auto &[count, begun] = isAfter ? after : before;
@@ -254,11 +267,11 @@
     record.line("other requests begun at the first attempt: " + std::to_string(before.second) + " of "
                 + std::to_string(before.first) + " before, " + std::to_string(after.second) + " of "
                 + std::to_string(after.first) + " from 6 s after the fifth crash");
-    const std::string text = std::to_string(history.crashes.size()) + " crashes by prompts of " + std::to_string(sharedParts())
-                             + " shared parts; " + std::to_string(late)
-                             + " requests reached replicas later than 3 s after the fifth crash, " + std::to_string(MaxRequests)
-                             + " allowed; " + std::to_string(crashingSent) + " were sent; " + std::to_string(served)
-                             + " of the others served";
+    const std::string text = std::to_string(history.crashes.size()) + " crashes by prompts of "
+                             + std::to_string(sharedParts()) + " shared parts; " + std::to_string(late)
+                             + " requests reached replicas later than 3 s after the fifth crash, "
+                             + std::to_string(MaxRequests) + " allowed; " + std::to_string(crashingSent)
+                             + " were sent; " + std::to_string(served) + " of the others served";
     if (served == 0)
         return finish(record, 2, "no other request was served; " + text);
     return finish(record, late > MaxRequests ? 1 : 0, text);
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -93,8 +93,9 @@
     ends = true;
     for (std::thread &client : clients)
         client.join();
-    const std::string text = "before " + before.text() + " served, later than 12 s after all were back " + after.text()
-                             + "; processes over their memory " + std::to_string(ended) + " times";
+    const std::string text = "before " + before.text() + " served, later than 12 s after all were back "
+                             + after.text() + "; processes over their memory " + std::to_string(ended)
+                             + " times";
     if (!before.isQuarter())
         return finish(record, 2, "less than a quarter was served before; " + text);
     return finish(record, after.isQuarter() ? 0 : 1, text);
--- a/review/support-2/http.h
+++ b/review/support-2/http.h
@@ -106,7 +106,8 @@
         const auto deadline = Clock::now() + timeout;
         std::size_t sent = 0;
         while (sent < bytes.size()) {
-            const auto n = ::send(m_fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+            const auto n =
+                ::send(m_fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
             if (n > 0)
                 sent += static_cast<std::size_t>(n);
             else if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && wait(POLLOUT, deadline))
--- a/review/support-2/replica.h
+++ b/review/support-2/replica.h
@@ -28,7 +28,8 @@
     Replica(std::string id, const std::string &ip, int port, Options options)
         : m_id(std::move(id))
         , m_options(std::move(options))
-        , m_server(ip, port, [this](Connection &connection, Message &request) { return handle(connection, request); })
+        , m_server(ip, port,
+                   [this](Connection &connection, Message &request) { return handle(connection, request); })
     {}
 
     [[nodiscard]] std::vector<Run> runs() const
@@ -51,7 +52,8 @@
         if (request.field("X-Expect-Instance") != m_id)
             return connection.send(response(421, {{"X-Replica-Id", m_id}}, ""));
         const std::string attempt = request.field("X-Attempt-Id");
-        Headers headers{{"X-Attempt-Id", attempt}, {"X-Server-Seal", m_id + '.' + attempt}, {"Keep-Alive", "timeout=10"}};
+        Headers headers{
+            {"X-Attempt-Id", attempt}, {"X-Server-Seal", m_id + '.' + attempt}, {"Keep-Alive", "timeout=10"}};
         {
             const std::lock_guard lock(m_mutex);
             if (!m_options.serverLimit.empty())
@@ -88,14 +90,15 @@
 /// A configuration of one streaming, one unsafe and one safe route.
 inline std::string configuration(int version, const std::string &tenants, double coldPerSecond = 8)
 {
-    return "{\"version\":" + std::to_string(version) + R"(,"routes":[)"
-           R"({"name":"quick","hostname":"site.example","path_prefix":"/stream/","route_kind":"streaming","timeout_ms":8000,)"
-           R"("goal_ms":400,"priority":0,"service":"llm","max_attempts":2,"anonymous":false,"affinity":true,"resumable":true,"target_gap_ms":250},)"
-           R"({"name":"book","hostname":"site.example","path_prefix":"/book/","route_kind":"unsafe","timeout_ms":600,"goal_ms":100,)"
-           R"("priority":0,"service":"app","max_attempts":1,"anonymous":false},)"
-           R"({"name":"read","hostname":"site.example","path_prefix":"/read/","route_kind":"safe","timeout_ms":600,"goal_ms":100,)"
-           R"("priority":1,"service":"app","max_attempts":2,"anonymous":false}],)"
-           R"("services":[{"name":"llm","health_path":"/healthz","max_connections":360,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":)"
+    return "{\"version\":" + std::to_string(version)
+           + R"(,"routes":[)"
+             R"({"name":"quick","hostname":"site.example","path_prefix":"/stream/","route_kind":"streaming","timeout_ms":8000,)"
+             R"("goal_ms":400,"priority":0,"service":"llm","max_attempts":2,"anonymous":false,"affinity":true,"resumable":true,"target_gap_ms":250},)"
+             R"({"name":"book","hostname":"site.example","path_prefix":"/book/","route_kind":"unsafe","timeout_ms":600,"goal_ms":100,)"
+             R"("priority":0,"service":"app","max_attempts":1,"anonymous":false},)"
+             R"({"name":"read","hostname":"site.example","path_prefix":"/read/","route_kind":"safe","timeout_ms":600,"goal_ms":100,)"
+             R"("priority":1,"service":"app","max_attempts":2,"anonymous":false}],)"
+             R"("services":[{"name":"llm","health_path":"/healthz","max_connections":360,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":)"
            + std::to_string(coldPerSecond)
            + R"(,"engine":{"slots":64,"kv_capacity":402142,"kv_token_bytes":18432,"link_mbps":370000.0,"models":[{"name":"m"}]}},)"
              R"({"name":"app","health_path":"/healthz","max_connections":96,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}],)"
--- a/review/support-2/site.h
+++ b/review/support-2/site.h
@@ -89,8 +89,9 @@
 {
 public:
     Store(const std::string &ip, int port)
-        : m_server(std::make_unique<Server>(
-            ip, port, [this](Connection &connection, Message &request) { return handle(connection, request); }))
+        : m_server(std::make_unique<Server>(ip, port, [this](Connection &connection, Message &request) {
+            return handle(connection, request);
+        }))
     {}
     ~Store()
     {
@@ -102,7 +103,10 @@
     }
 
     /// Writes an item and returns its revision.
-    std::uint64_t put(const std::string &key, const std::string &value) { return write({key, value, 0, false}); }
+    std::uint64_t put(const std::string &key, const std::string &value)
+    {
+        return write({key, value, 0, false});
+    }
     std::uint64_t remove(const std::string &key) { return write({key, {}, 0, true}); }
 
     /// While this is set, watches learn of no change.
@@ -153,11 +157,12 @@
 
     static std::string describe(const Item &item)
     {
-        const std::string start = "{\"key\":\"" + item.key + "\",\"revision\":" + std::to_string(item.revision);
+        const std::string start =
+            "{\"key\":\"" + item.key + "\",\"revision\":" + std::to_string(item.revision);
         return start
                + (item.deleted ? ",\"deleted\":true}"
-                               : ",\"value\":\"" + base64(item.value) + "\",\"created\":"
-                                     + std::to_string(item.revision) + ",\"lease\":0}");
+                               : ",\"value\":\"" + base64(item.value)
+                                     + "\",\"created\":" + std::to_string(item.revision) + ",\"lease\":0}");
     }
 
     bool handle(Connection &connection, Message &request)
@@ -174,8 +179,7 @@
         if (text.empty() || m_silent)
             return false;
         const int status = text.size() == 3 ? std::atoi(text.c_str()) : 200;
-        return connection.send(response(status,
-                                        {{"Content-Type", "application/json"}, {"Store-Era", "1"}},
+        return connection.send(response(status, {{"Content-Type", "application/json"}, {"Store-Era", "1"}},
                                         status == 200 ? text : std::string("{}")));
     }
 
@@ -340,7 +344,8 @@
 public:
     explicit Site(const SiteOptions &options)
         : m_options(options)
-        , m_network("127." + std::to_string(20 + ::getpid() % 200) + '.' + std::to_string(1 + ::getpid() / 200 % 250) + '.')
+        , m_network("127." + std::to_string(20 + ::getpid() % 200) + '.'
+                    + std::to_string(1 + ::getpid() / 200 % 250) + '.')
         , m_folder(std::filesystem::temp_directory_path() / ("review-" + std::to_string(::getpid())))
     {
         std::filesystem::create_directories(m_folder);
@@ -377,9 +382,9 @@
         const std::string name = "edge-" + std::to_string(index);
         const std::string path = m_folder / (name + ".json");
         std::ofstream(path) << settings(index, name);
-        m_processes.at(static_cast<std::size_t>(index)) =
-            std::make_unique<Process>(std::vector<std::string>{"target/chestnutsilld", "--metrics-port", "9464"},
-                                      "CHESTNUTSILL_CONFIG=" + path, m_folder / (name + ".log"));
+        m_processes.at(static_cast<std::size_t>(index)) = std::make_unique<Process>(
+            std::vector<std::string>{"target/chestnutsilld", "--metrics-port", "9464"},
+            "CHESTNUTSILL_CONFIG=" + path, m_folder / (name + ".log"));
     }
     void startAll()
     {
@@ -389,18 +394,21 @@
 
     [[nodiscard]] bool isReady(int index) const
     {
-        const auto answer = call(ip(index), m_readiness, "GET", "/api/readyz", {{"Host", "x"}}, {}, milliseconds(500));
+        const auto answer =
+            call(ip(index), m_readiness, "GET", "/api/readyz", {{"Host", "x"}}, {}, milliseconds(500));
         return answer && answer->status() == 200;
     }
     /// Number of instances that an instance names to clients.
     [[nodiscard]] int namedInstances(int index) const
     {
-        const auto answer = call(ip(index), m_directory, "GET", "/api/resolve?name=site.example&region=r&zone=a",
-                                 {{"Host", "x"}}, {}, milliseconds(500));
+        const auto answer =
+            call(ip(index), m_directory, "GET", "/api/resolve?name=site.example&region=r&zone=a",
+                 {{"Host", "x"}}, {}, milliseconds(500));
         if (!answer || answer->status() != 200)
             return 0;
         int count = 0;
-        for (auto at = answer->body.find("\"127."); at != std::string::npos; at = answer->body.find("\"127.", at + 1))
+        for (auto at = answer->body.find("\"127."); at != std::string::npos;
+             at = answer->body.find("\"127.", at + 1))
             ++count;
         return count;
     }
@@ -419,11 +427,13 @@
     }
 
     /// Publishes a replica.
-    void publishReplica(const std::string &id, const std::string &service, const std::string &address, int slots) const
+    void publishReplica(const std::string &id, const std::string &service, const std::string &address,
+                        int slots) const
     {
-        store->put("servers/" + id, "{\"service\":\"" + service + "\",\"address\":\"" + address
-                                        + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":" + std::to_string(slots)
-                                        + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":4,\"born\":1}");
+        store->put("servers/" + id,
+                   "{\"service\":\"" + service + "\",\"address\":\"" + address
+                       + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":" + std::to_string(slots)
+                       + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":4,\"born\":1}");
     }
 
     std::unique_ptr<Store> store;
@@ -436,7 +446,8 @@
         std::string seeds;
         for (int i = 0; i < std::min(m_options.instances, 3); ++i)
             seeds += (i > 0 ? ",\"" : "\"") + ip(i) + ':' + std::to_string(m_control) + '"';
-        return "{\"node_name\":\"" + name + R"(","role":"entry","machine_class":"edge","serves":["edge","control","registry"],"ip":")"
+        return "{\"node_name\":\"" + name
+               + R"(","role":"entry","machine_class":"edge","serves":["edge","control","registry"],"ip":")"
                + own + R"(","zone":"a","region":"r","zones":{"a":"r"},"listen":{"frontend":)" + at(m_frontend)
                + ",\"readiness\":" + at(m_readiness) + ",\"control_plane\":" + at(m_control)
                + ",\"directory\":" + at(m_directory) + "},\"internal_ports\":[" + std::to_string(m_peer) + ","
@@ -478,7 +489,11 @@
 inline int finish(Record &record, int status, const std::string &text)
 {
     record.line((status == 0 ? "held: " : status == 1 ? "broken: " : "could not run: ") + text);
-    std::printf("%s%s\n", status == 0 ? "held: " : status == 1 ? "broken: " : "could not run: ", text.c_str());
+    std::printf("%s%s\n",
+                status == 0   ? "held: "
+                : status == 1 ? "broken: "
+                              : "could not run: ",
+                text.c_str());
     return status;
 }
 
