--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -28,15 +28,8 @@
     return value == nullptr ? 208 : std::atoi(value);
 }
 
-std::string hexadecimal(unsigned number)
-{
-    char text[16];
-    std::snprintf(text, sizeof text, "%x", number);
-    return text;
-}
-
 /// The parts of a prompt. All share the first ones; the last shared one may be that which crashes replicas.
-std::string promptParts(unsigned request, bool isCrashing)
+std::string longPromptParts(unsigned request, bool isCrashing)
 {
     std::string parts;
     for (int i = 0; i + 1 < sharedParts(); ++i)
@@ -199,7 +192,7 @@
         headers.emplace_back("X-Model", "m");
         headers.emplace_back("X-Token-Count",
                              std::to_string(sharedParts() * BlockTokens + OwnTokens) + ",80");
-        headers.emplace_back("X-Prefix-Hash", promptParts(number, isCrashing));
+        headers.emplace_back("X-Prefix-Hash", longPromptParts(number, isCrashing));
         const auto answer =
             call(site.ip(static_cast<int>(number) % Instances), site.frontend(), "POST", "/stream/x", headers,
                  "{\"n\":" + std::to_string(number) + "}", milliseconds(8000));
--- a/review/support-2/http.h
+++ b/review/support-2/http.h
@@ -49,8 +49,7 @@
     }
     /// Status of a response, 0 if it is malformed.
     [[nodiscard]] int status() const { return first.size() < 12 ? 0 : std::atoi(first.c_str() + 9); }
-    /// Method and target of a request.
-    [[nodiscard]] std::string method() const { return first.substr(0, first.find(' ')); }
+    /// Target of a request.
     [[nodiscard]] std::string target() const
     {
         const auto begin = first.find(' ') + 1;
--- a/review/support-2/replica.h
+++ b/review/support-2/replica.h
@@ -14,8 +14,6 @@
     {
         Clock::time_point at;
         std::string attempt;
-        std::string path;
-        std::string account;
     };
     struct Options
     {
@@ -58,7 +56,7 @@
             const std::lock_guard lock(m_mutex);
             if (!m_options.serverLimit.empty())
                 headers.emplace_back("Server-Limit", m_options.serverLimit);
-            m_runs.push_back({Clock::now(), attempt, request.target(), request.field("X-Tenant")});
+            m_runs.push_back({Clock::now(), attempt});
         }
         if (request.target().find("/stream") != 0)
             return connection.send(response(200, headers, "body of " + attempt));
@@ -88,7 +86,7 @@
 };
 
 /// A configuration of one streaming, one unsafe and one safe route.
-inline std::string configuration(int version, const std::string &tenants, double coldPerSecond = 8)
+inline std::string configuration(int version, const std::string &tenants)
 {
     return "{\"version\":" + std::to_string(version)
            + R"(,"routes":[)"
@@ -98,9 +96,7 @@
              R"("priority":0,"service":"app","max_attempts":1,"anonymous":false},)"
              R"({"name":"read","hostname":"site.example","path_prefix":"/read/","route_kind":"safe","timeout_ms":600,"goal_ms":100,)"
              R"("priority":1,"service":"app","max_attempts":2,"anonymous":false}],)"
-             R"("services":[{"name":"llm","health_path":"/healthz","max_connections":360,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":)"
-           + std::to_string(coldPerSecond)
-           + R"(,"engine":{"slots":64,"kv_capacity":402142,"kv_token_bytes":18432,"link_mbps":370000.0,"models":[{"name":"m"}]}},)"
+             R"("services":[{"name":"llm","health_path":"/healthz","max_connections":360,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":8.0,"engine":{"slots":64,"kv_capacity":402142,"kv_token_bytes":18432,"link_mbps":370000.0,"models":[{"name":"m"}]}},)"
              R"({"name":"app","health_path":"/healthz","max_connections":96,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}],)"
              R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
              R"("tenants":[)"
@@ -110,6 +106,29 @@
 inline const std::string TwoTenants =
     R"({"name":"trust","api_keys":["key-1"],"priority":1},{"name":"parish","api_keys":["key-2"],"priority":1})";
 
+inline std::string hexadecimal(unsigned number)
+{
+    char text[16];
+    std::snprintf(text, sizeof text, "%x", number);
+    return text;
+}
+
+/// Tokens of the prompts of `quick-quirk`, and how many of them are parts of one token each in an odd prompt.
+constexpr int PromptTokens = 1460;
+constexpr int OddParts = 1400;
+
+/// The parts of the prompt of a request: many of one token each, or two shared ones and the request's own.
+inline std::string promptParts(unsigned request, bool isOdd)
+{
+    if (!isOdd)
+        return hexadecimal(1 + request % 4) + ":100," + hexadecimal(100 + request % 90) + ":250,"
+               + hexadecimal(0x100000 + request) + ":1110";
+    std::string parts;
+    for (unsigned i = 0; i < OddParts; ++i)
+        parts += hexadecimal(0x1000000U + request * OddParts + i) + ":1,";
+    return parts + hexadecimal(0x100000 + request) + ':' + std::to_string(PromptTokens - OddParts);
+}
+
 /// Headers of a client's request.
 inline Headers requestHeaders(const std::string &attempt, const std::string &key, int deadlineMs)
 {
--- a/review/support-2/site.h
+++ b/review/support-2/site.h
@@ -84,7 +84,7 @@
     return {};
 }
 
-/// The platform's store: pages of at most about 500 items or 1 MB, watches, history.
+/// The platform's store: pages of at most about 500 items or 1 MB, and watches.
 class Store
 {
 public:
@@ -102,37 +102,15 @@
         m_server.reset();
     }
 
-    /// Writes an item and returns its revision.
-    std::uint64_t put(const std::string &key, const std::string &value)
-    {
-        return write({key, value, 0, false});
-    }
-    std::uint64_t remove(const std::string &key) { return write({key, {}, 0, true}); }
-
-    /// While this is set, watches learn of no change.
-    void setMuted(bool muted)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_muted = muted;
-        m_mutedRevision = m_revision;
-    }
-    /// Drops the history; watches from before it get 410.
-    void dropHistory()
+    void put(const std::string &key, const std::string &value)
     {
         const std::lock_guard lock(m_mutex);
-        m_history.clear();
-        m_historyStart = m_revision;
+        const Item item{key, value, ++m_revision};
+        m_items[key] = item;
+        m_history.push_back(item);
     }
-    /// While this is set, calls get no response.
-    void setSilent(bool silent) { m_silent = silent; }
-    void endConnections() { m_server->endConnections(); }
+
     [[nodiscard]] int rangeCalls() const { return m_rangeCalls; }
-    /// When the watch that came last ends, if nothing changes.
-    [[nodiscard]] Clock::time_point watchEnd()
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_watchEnd;
-    }
 
 private:
     struct Item
@@ -140,43 +118,22 @@
         std::string key;
         std::string value;
         std::uint64_t revision = 0;
-        bool deleted = false;
     };
 
-    std::uint64_t write(Item item)
-    {
-        const std::lock_guard lock(m_mutex);
-        item.revision = ++m_revision;
-        if (item.deleted)
-            m_items.erase(item.key);
-        else
-            m_items[item.key] = item;
-        m_history.push_back(item);
-        return item.revision;
-    }
-
     static std::string describe(const Item &item)
     {
-        const std::string start =
-            "{\"key\":\"" + item.key + "\",\"revision\":" + std::to_string(item.revision);
-        return start
-               + (item.deleted ? ",\"deleted\":true}"
-                               : ",\"value\":\"" + base64(item.value)
-                                     + "\",\"created\":" + std::to_string(item.revision) + ",\"lease\":0}");
+        const std::string revision = std::to_string(item.revision);
+        return "{\"key\":\"" + item.key + "\",\"revision\":" + revision + ",\"value\":\"" + base64(item.value)
+               + "\",\"created\":" + revision + ",\"lease\":0}";
     }
 
     bool handle(Connection &connection, Message &request)
     {
         const std::string target = request.target();
-        if (m_silent) {
-            while (m_silent && !connection.peerClosed() && !m_ending)
-                std::this_thread::sleep_for(milliseconds(5));
-            return false;
-        }
         const std::string text = target.starts_with("/api/kv-range")   ? range(target)
                                  : target.starts_with("/api/kv-watch") ? watch(connection, target)
                                                                        : std::string("404");
-        if (text.empty() || m_silent)
+        if (text.empty())
             return false;
         const int status = text.size() == 3 ? std::atoi(text.c_str()) : 200;
         return connection.send(response(status, {{"Content-Type", "application/json"}, {"Store-Era", "1"}},
@@ -213,26 +170,18 @@
         const std::uint64_t after = std::strtoull(query(target, "after").c_str(), nullptr, 10);
         const std::string prefix = query(target, "path_prefix");
         const auto until = Clock::now() + milliseconds(std::atoi(query(target, "wait_ms").c_str()));
-        {
-            const std::lock_guard lock(m_mutex);
-            m_watchEnd = until;
-        }
         for (;;) {
             {
                 const std::lock_guard lock(m_mutex);
-                if (m_ending || m_silent)
+                if (m_ending)
                     return {};
-                if (after < m_historyStart)
-                    return "410";
                 std::string events;
                 for (const Item &item : m_history) {
-                    if (item.revision > after && (!m_muted || item.revision <= m_mutedRevision)
-                        && item.key.starts_with(prefix))
+                    if (item.revision > after && item.key.starts_with(prefix))
                         events += (events.empty() ? "" : ",") + describe(item);
                 }
-                const std::uint64_t at = m_muted ? m_mutedRevision : m_revision;
                 if (!events.empty() || Clock::now() >= until)
-                    return "{\"events\":[" + events + "],\"at\":" + std::to_string(std::max(at, after)) + "}";
+                    return "{\"events\":[" + events + "],\"at\":" + std::to_string(m_revision) + "}";
             }
             if (connection.peerClosed())
                 return {};
@@ -244,11 +193,6 @@
     std::map<std::string, Item> m_items;
     std::deque<Item> m_history;
     std::uint64_t m_revision = 1;
-    std::uint64_t m_historyStart = 0;
-    bool m_muted = false;
-    std::uint64_t m_mutedRevision = 0;
-    Clock::time_point m_watchEnd;
-    std::atomic<bool> m_silent = false;
     std::atomic<bool> m_ending = false;
     std::atomic<int> m_rangeCalls = 0;
     std::unique_ptr<Server> m_server;
