--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -83,11 +83,7 @@
         m_server = std::make_unique<Server>(m_ip, m_port, [this](Connection &connection, Message &request) {
             return handle(connection, request);
         });
-        m_site.store->put(
-            "servers/" + m_id,
-            "{\"service\":\"llm\",\"address\":\"" + m_ip + ':' + std::to_string(m_port)
-                + R"(","zone":"a","version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":4,"born":)"
-                + std::to_string(m_born) + "}");
+        m_site.publishReplica(m_id, "llm", m_ip + ':' + std::to_string(m_port), 64, m_born);
     }
 
     void supervise()
@@ -132,21 +128,9 @@
             return false;
         }
         std::this_thread::sleep_for(milliseconds(30));
-        std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: " + m_id + '.'
-                           + attempt
-                           + "\r\nKeep-Alive: timeout=10\r\nContent-Type: "
-                             "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        if (!connection.send(head))
-            return false;
-        for (int i = 1; i <= 20; ++i) {
-            const std::string event = "id: " + std::to_string(i) + "\ndata: token\n\n";
-            std::ostringstream chunk;
-            chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
-            if (!connection.send(chunk.str()))
-                return false;
-            std::this_thread::sleep_for(milliseconds(10));
-        }
-        return connection.send("0\r\n\r\n");
+        const Headers headers{
+            {"X-Attempt-Id", attempt}, {"X-Server-Seal", m_id + '.' + attempt}, {"Keep-Alive", "timeout=10"}};
+        return sendStream(connection, headers, 20, milliseconds(10));
     }
 
     const Site &m_site;
--- a/review/support-2/http.h
+++ b/review/support-2/http.h
@@ -294,8 +294,7 @@
     {
         m_stopped = true;
         ::shutdown(m_fd, SHUT_RDWR);
-        if (m_acceptor.joinable())
-            m_acceptor.join();
+        m_acceptor.join();
         ::close(m_fd);
         endConnections();
         while (m_active > 0)
--- a/review/support-2/replica.h
+++ b/review/support-2/replica.h
@@ -6,6 +6,25 @@
 
 namespace review {
 
+/// Sends a head with these fields and a stream of events. False if the connection ends.
+inline bool sendStream(Connection &connection, const Headers &headers, int events, milliseconds pause)
+{
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const auto &[name, value] : headers)
+        head += name + ": " + value + "\r\n";
+    if (!connection.send(head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+        return false;
+    for (int i = 1; i <= events; ++i) {
+        const std::string event = "id: " + std::to_string(i) + "\ndata: token\n\n";
+        std::ostringstream chunk;
+        chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+        if (!connection.send(chunk.str()))
+            return false;
+        std::this_thread::sleep_for(pause);
+    }
+    return connection.send("0\r\n\r\n");
+}
+
 /// Answers plain requests at once and streams with a few events. It counts what it runs.
 class Replica
 {
@@ -60,22 +79,7 @@
         }
         if (request.target().find("/stream") != 0)
             return connection.send(response(200, headers, "body of " + attempt));
-        headers.emplace_back("Content-Type", "text/event-stream");
-        headers.emplace_back("Transfer-Encoding", "chunked");
-        std::string head = "HTTP/1.1 200 OK\r\n";
-        for (const auto &[name, value] : headers)
-            head += name + ": " + value + "\r\n";
-        if (!connection.send(head + "\r\n"))
-            return false;
-        for (int i = 1; i <= m_options.events; ++i) {
-            const std::string event = "id: " + std::to_string(i) + "\ndata: token\n\n";
-            std::ostringstream chunk;
-            chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
-            if (!connection.send(chunk.str()))
-                return false;
-            std::this_thread::sleep_for(m_options.eventPause);
-        }
-        return connection.send("0\r\n\r\n");
+        return sendStream(connection, headers, m_options.events, m_options.eventPause);
     }
 
     std::string m_id;
@@ -138,4 +142,14 @@
             {"Authorization", "Bearer " + key}};
 }
 
+/// Headers of a stream request for `quick-quirk`.
+inline Headers streamHeaders(const std::string &attempt, unsigned request, bool isOdd)
+{
+    Headers headers = requestHeaders(attempt, "key-1", 8000);
+    headers.emplace_back("X-Model", "m");
+    headers.emplace_back("X-Token-Count", std::to_string(PromptTokens) + ",80");
+    headers.emplace_back("X-Prefix-Hash", promptParts(request, isOdd));
+    return headers;
+}
+
 } // namespace review
--- a/review/support-2/site.h
+++ b/review/support-2/site.h
@@ -198,6 +198,23 @@
     std::unique_ptr<Server> m_server;
 };
 
+/// Words of the command in the deploy file that starts an instance.
+inline std::vector<std::string> deployCommand()
+{
+    const std::string start = "run = \"";
+    std::ifstream file("deploy/system.toml");
+    std::string line;
+    while (std::getline(file, line) && !line.starts_with(start)) {
+    }
+    if (line.size() <= start.size())
+        throw std::runtime_error("deploy/system.toml names no command");
+    std::istringstream words(line.substr(start.size(), line.rfind('"') - start.size()));
+    std::vector<std::string> command;
+    for (std::string word; words >> word;)
+        command.push_back(word);
+    return command;
+}
+
 /// A process of the project. Ends with the test.
 class Process
 {
@@ -226,17 +243,11 @@
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
 
-    void signal(int number) const
-    {
-        if (m_pid > 0)
-            ::kill(m_pid, number);
-    }
     void stop(int number)
     {
         if (m_pid <= 0)
             return;
-        signal(number);
-        signal(SIGCONT);
+        ::kill(m_pid, number);
         ::waitpid(m_pid, nullptr, 0);
         m_pid = 0;
     }
@@ -279,7 +290,6 @@
 {
     int instances = 3;
     int memoryMb = 110;
-    int retrySlack = 52;
 };
 
 /// Store and instances with settings like those of kimlong-rota.
@@ -312,14 +322,7 @@
     [[nodiscard]] std::string ip(int index) const { return m_network + std::to_string(index + 1); }
     [[nodiscard]] int frontend() const { return m_frontend; }
     [[nodiscard]] int directory() const { return m_directory; }
-    [[nodiscard]] int instances() const { return m_options.instances; }
     [[nodiscard]] Process &process(int index) { return *m_processes.at(static_cast<std::size_t>(index)); }
-    [[nodiscard]] std::string log(int index) const
-    {
-        std::ostringstream text;
-        text << std::ifstream(m_folder / ("edge-" + std::to_string(index) + ".log")).rdbuf();
-        return text.str();
-    }
 
     void startInstance(int index)
     {
@@ -327,8 +330,7 @@
         const std::string path = m_folder / (name + ".json");
         std::ofstream(path) << settings(index, name);
         m_processes.at(static_cast<std::size_t>(index)) = std::make_unique<Process>(
-            std::vector<std::string>{"target/chestnutsilld", "--metrics-port", "9464"},
-            "CHESTNUTSILL_CONFIG=" + path, m_folder / (name + ".log"));
+            deployCommand(), "CHESTNUTSILL_CONFIG=" + path, m_folder / (name + ".log"));
     }
     void startAll()
     {
@@ -370,14 +372,15 @@
         return true;
     }
 
-    /// Publishes a replica.
+    /// Publishes a replica. `born` differs between its incarnations.
     void publishReplica(const std::string &id, const std::string &service, const std::string &address,
-                        int slots) const
+                        int slots, int born = 1) const
     {
         store->put("servers/" + id,
                    "{\"service\":\"" + service + "\",\"address\":\"" + address
                        + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":" + std::to_string(slots)
-                       + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":4,\"born\":1}");
+                       + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":4,\"born\":"
+                       + std::to_string(born) + "}");
     }
 
     std::unique_ptr<Store> store;
@@ -402,9 +405,8 @@
                + R"("entry":"registry","heartbeat_ms":1200,"fault_tolerance":{"machines":2,"zones":1,"regions":0},)"
                + R"("bounds":{"seed_lag_s":3,"reuse_after_s":2,"contact_ms":3000,"ack_ms":4000,"catch_up_s":4,"drain_ms":2000,)"
                + R"("grace_s":8,"loss_slack_ms":200,"config_apply_ms":2000,"rollback_slack_ms":250,"outer_bound_ms":5000,)"
-               + R"("revoke_strict":true,"revoke_ms":5000,"retry_budget_ratio":0.2,"retry_window_s":10,"retry_slack":)"
-               + std::to_string(m_options.retrySlack)
-               + R"(,"cold_factor":1.5,"cold_slack":5,"evacuation_ms":5000,"recovery_s":12,"delivery_lag_ms":120,)"
+               + R"("revoke_strict":true,"revoke_ms":5000,"retry_budget_ratio":0.2,"retry_window_s":10,"retry_slack":52,)"
+               + R"("cold_factor":1.5,"cold_slack":5,"evacuation_ms":5000,"recovery_s":12,"delivery_lag_ms":120,)"
                + R"("reuse_window_s":9,"ttl_max_s":5},"platform":{"address":")" + ip(200) + ':'
                + std::to_string(m_storePort)
                + R"(","form":"read","writes_per_s":400,"reads_per_s":2000,"history_s":20,"value_bytes":1048576,"ttl_min_ms":1000}})";
