Store: keys in queries are encoded, and each page must go on after the one before

Cause: the key that ends a page of the store went into the query for the next page as it is. A key with "&" asked for another one, the store answered with the page that begins with the same item, and the read neither noticed that nor ended. It kept each page with all values. The same way other keys were passed over ("%7A"), a key that is no UTF-8 made its page malformed, and a page without items although more follow was taken for the end.

Change: targets with queries are built in one place, encoded by Boost.URL. A page that does not go on after the one before fails the read with a reason, which is logged once, and it is tried again after the usual pause. Items that name nothing of this system, and values too large for an entry, are dropped as they are read, and ranges of other keys are passed over. A poll that returned only items of no use no longer confirms more than its start.

Why it works: with the key encoded, the store sees the key that it has sent, so that each page begins after it; where it doesn't, the strictly growing last key bounds the pages by the number of items, and what is kept by what is ours.

--- a/include/chestnutsill/config/jsonobjectreader.h
+++ b/include/chestnutsill/config/jsonobjectreader.h
@@ -81,7 +81,11 @@
     std::set<std::string, std::less<>> m_read;
 };
 
+/// Whether strings must be valid UTF-8.
+enum class Utf8Check { Strict, Skipped };
+
 /// Parses JSON text. Adds an error and returns null when it is malformed.
-[[nodiscard]] boost::json::value parseJson(std::string_view text, ValidationErrors &errors);
+[[nodiscard]] boost::json::value parseJson(std::string_view text, ValidationErrors &errors,
+                                           Utf8Check check = Utf8Check::Strict);
 
 } // namespace chestnutsill
--- a/include/chestnutsill/net/httpclient.h
+++ b/include/chestnutsill/net/httpclient.h
@@ -84,6 +84,9 @@
     /// Whether the last failure was a timeout.
     [[nodiscard]] bool timedOut() const noexcept;
 
+    /// Whether `call` failed because the body was larger than its maximum.
+    [[nodiscard]] bool isTooLarge() const noexcept;
+
     /// Reason of the last failure.
     [[nodiscard]] const std::string &lastReason() const noexcept;
 
--- a/include/chestnutsill/net/keepaliveclient.h
+++ b/include/chestnutsill/net/keepaliveclient.h
@@ -28,6 +28,9 @@
     /// Closes the connection; a pending call fails.
     void close();
 
+    /// Whether the last call failed because of the size of its response.
+    [[nodiscard]] bool isTooLarge() const noexcept { return m_tooLarge; }
+
     /// Why the last call failed.
     [[nodiscard]] const std::string &lastReason() const noexcept { return m_reason; }
 
@@ -36,6 +39,7 @@
     std::string m_address;
     std::unique_ptr<HttpClient> m_client;
     std::string m_reason;
+    bool m_tooLarge = false;
 };
 
 } // namespace chestnutsill
--- a/src/config/jsonobjectreader.cpp
+++ b/src/config/jsonobjectreader.cpp
@@ -166,10 +166,12 @@
     }
 }
 
-json::value parseJson(std::string_view text, ValidationErrors &errors)
+json::value parseJson(std::string_view text, ValidationErrors &errors, Utf8Check check)
 {
     json::error_code error;
-    json::value value = json::parse({text.data(), text.size()}, error);
+    json::parse_options options;
+    options.allow_invalid_utf8 = check == Utf8Check::Skipped;
+    json::value value = json::parse({text.data(), text.size()}, error, {}, options);
     if (error) {
         errors.push_back({"$", "is not valid JSON: " + error.message()});
         return nullptr;
--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -6,14 +6,11 @@
 #include "platform/published.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace chestnutsill {
 
 namespace {
 
-/// Empty prefix: all items are watched with one long poll instead of one for each kind.
-constexpr std::string_view AllItems;
 /// Time for the store to respond; a long poll may take its duration in addition.
 constexpr milliseconds ResponseTimeout{700};
 
@@ -30,15 +27,26 @@
 constexpr milliseconds PeerDiscoveryTime{60};
 constexpr milliseconds PeerDiscoveryInterval{10};
 
-/// Returns the latest instant whose state a long poll has reported. A poll without changes was answered after
-/// the full `wait` and confirms that instant; one with changes may have been answered at any time since
-/// `start`.
-Instant confirmedAtOf(const std::vector<PublishedItem> &changes, Instant start, milliseconds wait)
+/// Returns the latest instant whose state a long poll has reported. A poll without changes, not even of items
+/// that this system does not use, was answered after the full `wait` and confirms that instant; one with
+/// changes may have been answered at any time since `start`.
+Instant confirmedAtOf(bool hasChanges, Instant start, milliseconds wait)
 {
-    const bool waited = changes.empty() && now() - start >= wait;
+    const bool waited = !hasChanges && now() - start >= wait;
     return waited ? start + wait : start;
 }
 
+/// What is of use among the items that a peer has sent, which may hold others.
+std::vector<PublishedItem> usedItemsOf(std::vector<PublishedItem> items)
+{
+    std::vector<PublishedItem> used;
+    for (PublishedItem &item : items) {
+        if (platform::reduceItem(item))
+            used.push_back(std::move(item));
+    }
+    return used;
+}
+
 std::string errorText(const ValidationErrors &errors)
 {
     return errors.empty() ? std::string() : errors[0].path + ' ' + errors[0].message;
@@ -83,11 +91,12 @@
             m_selector.recordStoreAnswer();
             continue;
         }
-        if (m_storeClient.lastFailure() == platform::StoreFailure::HistoryGone) {
+        if (mustReadAgain()) {
             m_selector.recordStoreAnswer();
             m_fullReadDone = false;
             log(LogLevel::Info, "store-history-gone",
-                {{"revision", static_cast<std::int64_t>(m_changeLog.revision().number)}});
+                {{"reason", m_storeClient.lastReason()},
+                 {"revision", static_cast<std::int64_t>(m_changeLog.revision().number)}});
         } else {
             m_selector.recordStoreFailure(now());
             recordFailure(m_selector.hasUsablePeer(candidates, now()));
@@ -96,6 +105,14 @@
     }
 }
 
+bool StoreWatcher::mustReadAgain() const noexcept
+{
+    // Pages are smaller than changes that have piled up.
+    const platform::StoreFailure failure = m_storeClient.lastFailure();
+    return failure == platform::StoreFailure::HistoryGone
+           || (failure == platform::StoreFailure::TooLarge && m_fullReadDone);
+}
+
 void StoreWatcher::recordPeerRevision(StoreRevision revision)
 {
     if (!m_fullReadDone)
@@ -151,7 +168,7 @@
     }
     std::optional<Instant> confirmedAt;
     if (answer->confirmedAge)
-        confirmedAt = confirmedAtOf(answer->items, start, FeedPollDuration) - *answer->confirmedAge;
+        confirmedAt = confirmedAtOf(!answer->items.empty(), start, FeedPollDuration) - *answer->confirmedAge;
     // A stale snapshot is not applied, so its confirmation does not hold for the local copy.
     if (answer->isSnapshot && !fresh && !source.acceptsStale) {
         m_selector.recordStalePeer(source.peer, confirmedAt, now());
@@ -159,10 +176,11 @@
     }
     if (answer->removalsDelayedFor > milliseconds(0))
         m_state.catalog.delayRemovalsUntil(now() + answer->removalsDelayedFor);
+    std::vector<PublishedItem> items = usedItemsOf(std::move(answer->items));
     if (answer->isSnapshot)
-        applySnapshot(std::move(answer->items), answer->revision);
+        applySnapshot(std::move(items), answer->revision);
     else
-        applyChanges(answer->items, answer->revision);
+        applyChanges(items, answer->revision);
     if (confirmedAt) {
         recordConfirmed(*confirmedAt);
         confirmTable(*confirmedAt);
@@ -207,6 +225,7 @@
     m_changeLog.restart(std::move(items), revision);
     m_lagDetector.recordOwnRevision(revision);
     m_fullReadDone = true;
+    m_lastReadFailure.clear();
     m_handlers.onChanges();
 }
 
@@ -251,6 +270,10 @@
 
 void StoreWatcher::recordFailure(bool hasUsablePeer)
 {
+    if (!m_fullReadDone && m_storeClient.lastReason() != m_lastReadFailure) {
+        m_lastReadFailure = m_storeClient.lastReason();
+        log(LogLevel::Warning, "full-read-failed", {{"reason", m_lastReadFailure}});
+    }
     if (hasUsablePeer && m_fullReadDone) {
         log(LogLevel::Info, "store-passed-over", {{"reason", m_storeClient.lastReason()}});
         return;
@@ -288,28 +311,11 @@
 bool StoreWatcher::readAll(const Fiber &fiber)
 {
     const Instant start = now();
-    std::vector<PublishedItem> items;
-    StoreRevision firstRevision;
-    for (;;) {
-        const std::string after = items.empty() ? std::string() : items.back().key;
-        auto page = m_storeClient.readPage(AllItems, after, ResponseTimeout, fiber);
-        if (!page)
-            return false;
-        if (after.empty()) {
-            firstRevision = page->revision;
-        } else if (page->revision.era != firstRevision.era) {
-            items.clear();
-            continue;
-        }
-        const bool isLast = !page->hasMore || page->items.empty();
-        std::move(page->items.begin(), page->items.end(), std::back_inserter(items));
-        if (isLast)
-            break;
-    }
-    if (firstRevision.era < era())
+    auto read = m_storeClient.readAll(ResponseTimeout, fiber);
+    if (!read || read->revision.era < era())
         return false;
     // Pages are not a consistent snapshot, so all changes since the first page are read again.
-    applySnapshot(std::move(items), firstRevision);
+    applySnapshot(std::move(read->items), read->revision);
     confirmTable(start);
     recordSuccess(start);
     return true;
@@ -341,7 +347,7 @@
     const Instant start = now();
     const milliseconds wait = storePollDuration(start - m_confirmedAt, m_pollDuration);
     const auto changes =
-        m_storeClient.watch(AllItems, m_changeLog.revision().number, wait, wait + ResponseTimeout, fiber);
+        m_storeClient.watch(m_changeLog.revision().number, wait, wait + ResponseTimeout, fiber);
     if (!changes)
         return false;
     if (changes->revision.era < era())
@@ -351,7 +357,8 @@
         return true;
     }
     applyChanges(changes->items, changes->revision);
-    const Instant confirmedAt = confirmedAtOf(changes->items, start, wait);
+    const bool hasChanges = !changes->items.empty() || changes->unusedItems > 0;
+    const Instant confirmedAt = confirmedAtOf(hasChanges, start, wait);
     confirmTable(confirmedAt);
     recordSuccess(confirmedAt);
     if (const Instant elapsed = now() - start; elapsed < MinPollInterval)
--- a/src/daemon/storewatcher.h
+++ b/src/daemon/storewatcher.h
@@ -59,6 +59,8 @@
     [[nodiscard]] std::optional<FeedAnswer> feedAnswer(StoreRevision after) const;
 
 private:
+    /// Whether the last call to the store failed in a way after which all items have to be read.
+    [[nodiscard]] bool mustReadAgain() const noexcept;
     // Return false if the store has not responded.
     [[nodiscard]] bool readAll(const Fiber &fiber);
     [[nodiscard]] bool followStore(const Fiber &fiber);
@@ -103,6 +105,8 @@
     /// Whether all items have been read. Reset when the store no longer keeps the changes that this instance
     /// has not read.
     bool m_fullReadDone = false;
+    /// Why the last full read failed, as logged; empty after a successful one.
+    std::string m_lastReadFailure;
     /// Whether the store is being followed without a gap, directly or through a peer, and since when.
     bool m_isFollowing = false;
     Instant m_followingSince{};
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -30,6 +30,7 @@
     std::array<char, MaxPieceBytes> piece{};
     std::string reason;
     bool timedOut = false;
+    bool tooLarge = false;
     Instant connectedAt{};
     /// Request of `startSend`, until it has been sent completely.
     std::optional<http::request<http::span_body<const char>>> outgoing;
@@ -258,6 +259,7 @@
             return response;
         response.body += *piece;
         if (response.body.size() > maxBody) {
+            m_impl->tooLarge = true;
             m_impl->reason = "response is larger than " + std::to_string(maxBody) + " bytes";
             return std::nullopt;
         }
@@ -289,6 +291,11 @@
     return m_impl->timedOut;
 }
 
+bool HttpClient::isTooLarge() const noexcept
+{
+    return m_impl->tooLarge;
+}
+
 const std::string &HttpClient::lastReason() const noexcept
 {
     return m_impl->reason;
--- a/src/net/keepaliveclient.cpp
+++ b/src/net/keepaliveclient.cpp
@@ -6,6 +6,7 @@
                                                   std::size_t maxBody, std::chrono::milliseconds timeout,
                                                   const Fiber &fiber)
 {
+    m_tooLarge = false;
     if (!m_client || m_address != address || !m_client->isIdle()) {
         m_address = address;
         m_client = std::make_unique<HttpClient>();
@@ -16,8 +17,10 @@
         }
     }
     auto response = m_client->call(call, maxBody, timeout, fiber);
-    if (!response)
+    if (!response) {
         m_reason = m_client->lastReason();
+        m_tooLarge = m_client->isTooLarge();
+    }
     if (!response || !response->head.keepAlive)
         m_client.reset();
     return response;
--- a/tests/entry/oddentrytest.cpp
+++ b/tests/entry/oddentrytest.cpp
@@ -74,3 +74,28 @@
         CHECK(site.instances()[i].process->waitForExit(0) == -1);
     }
 }
+
+// Guards against instances that restart and read one page of the store again without end.
+TEST_CASE("odd entry: keys that end a page of the store don't keep instances that restart from serving")
+{
+    for (const std::string id : {"i&batch", "i+a b", "i#x", "i%26", "desk%7A&y", "i\xff"}) {
+        CAPTURE(id);
+        Site site("odd-key");
+        // A page of the stand-in has five items: the table, three entries and the odd one.
+        for (const char *before : {"0", "1", "2"})
+            site.writeItem(std::string("servers/") + before, "{}");
+        site.writeItem("servers/" + id, std::string(20'000, 'x'));
+        site.addUpstream("zone-desk", "desk");
+        site.start(2);
+        REQUIRE(site.waitReady());
+        for (std::size_t i = 0; i < 2; ++i) {
+            site.instances()[i].process->kill();
+            site.startInstance(i);
+        }
+        CHECK(support::waitUntil([&] { return site.readiness(0) == 200 && site.readiness(1) == 200; }));
+        for (std::size_t i = 0; i < 2; ++i) {
+            CHECK(follows(site, i, 1));
+            CHECK(site.call(i, callTo("/plain/x", ""))->head.status == 200);
+        }
+    }
+}
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -3,6 +3,8 @@
 #include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
 
 #include <deque>
 #include <list>
@@ -24,14 +26,15 @@
     return encoded;
 }
 
+/// Value of a field of a target's query, decoded; empty if there is none.
 std::string query(const std::string &target, const std::string &name)
 {
-    const std::size_t start = target.find('?');
-    std::size_t at = start == std::string::npos ? start : target.find(name + '=', start);
-    if (at == std::string::npos)
+    const auto url = boost::urls::parse_origin_form(target);
+    if (!url)
         return {};
-    at += name.size() + 1;
-    return target.substr(at, target.find('&', at) - at);
+    const auto params = url->params();
+    const auto field = params.find(name);
+    return field == params.end() ? std::string() : (*field).value;
 }
 
 std::uint64_t queryNumber(const std::string &target, const std::string &name)
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -1,5 +1,7 @@
 #include "site.h"
 
+#include "chestnutsill/net/querytarget.h"
+
 #include <unistd.h>
 
 #include <filesystem>
@@ -190,12 +192,12 @@
 
 void Site::writeItem(const std::string &key, const std::string &value)
 {
-    (void)support::call(m_storeAddress, "PUT", "/item?key=" + key, value);
+    (void)support::call(m_storeAddress, "PUT", queryTarget("/item", {{"key", key}}), value);
 }
 
 void Site::removeItem(const std::string &key)
 {
-    (void)support::call(m_storeAddress, "DELETE", "/item?key=" + key);
+    (void)support::call(m_storeAddress, "DELETE", queryTarget("/item", {{"key", key}}));
 }
 
 void Site::commandStore(const std::string &command) const
