Crashing parts: suspects are the parts with most evidence, not the first ones of a prompt

Callers saw: requests with one part, late in a long prompt, crashed all engines again and again, which broke the requests of others; parts that all prompts share were banned in its place at times, so that sound requests were refused.

Cause: a request was known by its first 32 shared parts only, at the instance that saw the crash as well as at its peers, and could be refused for those only. A notice was filled by the first requests at the engine. The part behind was never suspected. The count of following parts wrapped above 255.

Change: all parts are checked against the bans. The bounds of what a crash makes suspect stay (32 parts of a request, 128 of a notice), and the parts are selected by what has become of them lately: those that broke most often since they were last served, then those served longest ago or never. A notice takes the most suspect part of each request first. Likewise for the messages of chats on the own interface.

Why it works: the part at fault is never served after it begins to crash engines, while parts that sound requests share are, so that it comes first among the suspects wherever it stands.

--- a/include/chestnutsill/chestnutsill.h
+++ b/include/chestnutsill/chestnutsill.h
@@ -28,6 +28,7 @@
 #include "chestnutsill/policy/leavingschedule.h"
 #include "chestnutsill/policy/membership.h"
 #include "chestnutsill/policy/outlierdetector.h"
+#include "chestnutsill/policy/parthistory.h"
 #include "chestnutsill/policy/peertypes.h"
 #include "chestnutsill/policy/pool.h"
 #include "chestnutsill/policy/poolhome.h"
--- a/include/chestnutsill/fwd.h
+++ b/include/chestnutsill/fwd.h
@@ -22,6 +22,7 @@
 class LoadTable;
 class Membership;
 class OutlierDetector;
+class PartHistory;
 class PermitIssuer;
 class PrefillRateEstimator;
 class PrefixCacheIndex;
--- a/include/chestnutsill/policy/crashingparts.h
+++ b/include/chestnutsill/policy/crashingparts.h
@@ -17,7 +17,8 @@
 struct SuspectPart
 {
     std::uint64_t part = 0;
-    /// Number of shared parts that follow it in the prompt. The fewer, the more specific the part is.
+    /// Number of shared parts that follow it in the prompt, at most 255. The fewer, the more specific the
+    /// part is.
     std::uint8_t following = 0;
     /// Whether it is the fingerprint of a whole request, which is more specific than any part of it.
     bool isWhole = false;
@@ -59,7 +60,8 @@
     static constexpr std::chrono::minutes Retention{10};
     /// Maximum number of crashes kept.
     static constexpr std::size_t MaxCrashes = 512;
-    /// Shared parts of one request that are considered, from the first one on.
+    /// Shared parts of one request that a crash makes suspect: the most suspect ones; see `PartHistory`. All
+    /// are checked for bans.
     static constexpr std::size_t MaxPartsPerRequest = 32;
 
     /// Records the parts that were in progress at a crash, which happened at the instant `at`. A crash that
--- a/include/chestnutsill/policy/crashtracker.h
+++ b/include/chestnutsill/policy/crashtracker.h
@@ -3,6 +3,7 @@
 #include "chestnutsill/policy/crashingparts.h"
 #include "chestnutsill/policy/gossipqueue.h"
 #include "chestnutsill/policy/instant.h"
+#include "chestnutsill/policy/parthistory.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,7 +27,7 @@
     std::uint64_t incarnation = 0;
     /// Fingerprints of the requests of the reporting instance that were running at the upstream.
     std::vector<std::uint64_t> fingerprints;
-    /// Shared prompt parts of these requests.
+    /// Shared prompt parts of these requests, the most suspect first.
     std::vector<SuspectPart> parts;
     /// When the crash was noticed, by this instance's clock; the age of the notice replaces it in messages.
     Instant at{};
@@ -42,8 +43,9 @@
 };
 
 /// Detects requests, and prompt parts of requests, that crash the upstreams that run them. Each request whose
-/// connection broke in a crash is suspected, and so are its parts; see `CrashingParts`. A request that
-/// completes and its parts are cleared, at this instance and at its peers. An instance that can't reach an
+/// connection broke in a crash is suspected, and so are its parts; see `CrashingParts`. Of the parts of long
+/// prompts only the most suspect ones are; see `PartHistory`. A request that completes and its parts are
+/// cleared, at this instance and at its peers. An instance that can't reach an
 /// upstream takes it for crashed, until one that does reach it disproves that. Not thread-safe.
 class CrashTracker
 {
@@ -137,7 +139,9 @@
 
     struct BrokenAttempt
     {
-        RunningRequest request;
+        std::uint64_t fingerprint = 0;
+        /// The most suspect first.
+        std::vector<SuspectPart> parts;
         Instant at{};
     };
 
@@ -147,11 +151,14 @@
         std::vector<BrokenAttempt> broken;
     };
 
-    static void addTo(CrashNotice &notice, const RunningRequest &request);
+    /// Notice of a crash to which these attempts are attributed. Takes the most suspect part of each of them,
+    /// then the next one of each, as far as the notice holds them.
+    [[nodiscard]] static CrashNotice noticeOf(std::span<const BrokenAttempt> attempts, bool withParts);
     /// Returns whether the notice holds anything new.
     bool addToParts(const CrashNotice &notice, Instant now);
 
     CrashingParts m_parts;
+    PartHistory m_partHistory;
     /// Reported crashes that may be disproved, and when they were noticed.
     std::map<std::uint64_t, Instant> m_reportedCrashes;
     std::map<std::string, UpstreamAttempts, std::less<>> m_upstreams;
--- a/src/daemon/pipelinecall.cpp
+++ b/src/daemon/pipelinecall.cpp
@@ -55,7 +55,7 @@
         return hashes;
     const std::uint64_t model = stableHash(textOf(body, "model"));
     const json::array &list = messages->get_array();
-    for (std::size_t i = 0; i + 1 < list.size() && i < CrashingParts::MaxPartsPerRequest; ++i)
+    for (std::size_t i = 0; i + 1 < list.size(); ++i)
         hashes.push_back(stableHash(json::serialize(list[i]), model));
     return hashes;
 }
--- a/src/daemon/sharedcrashhistory.cpp
+++ b/src/daemon/sharedcrashhistory.cpp
@@ -61,8 +61,11 @@
     if (parts.empty())
         return;
     CrashReport crash{upstream, incarnation, {}, {}};
-    for (std::size_t i = 0; i < parts.size(); ++i)
-        crash.parts.push_back({parts[i], static_cast<std::uint8_t>(parts.size() - 1 - i)});
+    {
+        const std::lock_guard lock(m_mutex);
+        m_partHistory.recordBroken(parts, now());
+        crash.parts = m_partHistory.suspects(parts, CrashingParts::MaxPartsPerRequest);
+    }
     recordPeerCrash(crash);
     m_broadcastCrash(crash);
 }
@@ -72,6 +75,7 @@
     std::vector<std::uint64_t> cleared;
     {
         const std::lock_guard lock(m_mutex);
+        m_partHistory.recordServed(parts, now());
         for (const std::uint64_t part : parts) {
             if (m_parts.clear(part, now()))
                 cleared.push_back(part);
--- a/src/daemon/sharedcrashhistory.h
+++ b/src/daemon/sharedcrashhistory.h
@@ -2,6 +2,7 @@
 
 #include "chestnutsill/policy/crashhistory.h"
 #include "chestnutsill/policy/crashingparts.h"
+#include "chestnutsill/policy/parthistory.h"
 #include "chestnutsill/policy/pool.h"
 #include "daemon/localpools.h"
 
@@ -62,6 +63,7 @@
     std::mutex m_mutex;
     CrashHistory m_history;
     CrashingParts m_parts;
+    PartHistory m_partHistory;
 };
 
 } // namespace chestnutsill
--- a/src/policy/crashtracker.cpp
+++ b/src/policy/crashtracker.cpp
@@ -3,6 +3,8 @@
 #include "chestnutsill/policy/hash.h"
 
 #include <algorithm>
+#include <unordered_set>
+#include <utility>
 
 namespace chestnutsill {
 
@@ -29,20 +31,33 @@
         return request.fingerprint == fingerprint;
     });
     if (ended != running.end()) {
-        if (connectionBroke)
-            broken.push_back({std::move(*ended), now});
+        if (connectionBroke) {
+            m_partHistory.recordBroken(ended->parts, now);
+            broken.push_back({ended->fingerprint,
+                              m_partHistory.suspects(ended->parts, CrashingParts::MaxPartsPerRequest), now});
+        }
         running.erase(ended);
     }
     if (running.empty() && broken.empty())
         m_upstreams.erase(found);
 }
 
-void CrashTracker::addTo(CrashNotice &notice, const RunningRequest &request)
+CrashNotice CrashTracker::noticeOf(std::span<const BrokenAttempt> attempts, bool withParts)
 {
-    if (notice.fingerprints.size() < MaxPartsPerNotice)
-        notice.fingerprints.push_back(request.fingerprint);
-    for (std::size_t i = 0; i < request.parts.size() && notice.parts.size() < MaxPartsPerNotice; ++i)
-        notice.parts.push_back({request.parts[i], static_cast<std::uint8_t>(request.parts.size() - 1 - i)});
+    CrashNotice notice;
+    const auto count = std::min(attempts.size(), MaxPartsPerNotice);
+    for (const BrokenAttempt &attempt : attempts.first(count))
+        notice.fingerprints.push_back(attempt.fingerprint);
+    std::unordered_set<std::uint64_t> added;
+    for (std::size_t rank = 0; withParts && rank < CrashingParts::MaxPartsPerRequest; ++rank) {
+        for (const BrokenAttempt &attempt : attempts) {
+            if (notice.parts.size() == MaxPartsPerNotice)
+                return notice;
+            if (rank < attempt.parts.size() && added.insert(attempt.parts[rank].part).second)
+                notice.parts.push_back(attempt.parts[rank]);
+        }
+    }
+    return notice;
 }
 
 std::size_t CrashTracker::recordCrash(std::string_view upstream, std::string_view incarnation, Instant now,
@@ -57,18 +72,14 @@
         found->second.broken.clear();
         return 0;
     }
-    CrashNotice notice;
+    std::vector<BrokenAttempt> attempts = std::exchange(found->second.broken, {});
+    std::erase_if(attempts,
+                  [&](const BrokenAttempt &attempt) { return now - attempt.at > AttributionWindow; });
+    if (attempts.empty())
+        return 0;
+    CrashNotice notice = noticeOf(attempts, attributeToParts);
     notice.at = now;
     notice.incarnation = incarnationKeyOf(upstream, incarnation);
-    for (const BrokenAttempt &entry : found->second.broken) {
-        if (now - entry.at <= AttributionWindow)
-            addTo(notice, entry.request);
-    }
-    found->second.broken.clear();
-    if (notice.fingerprints.empty())
-        return 0;
-    if (!attributeToParts)
-        notice.parts.clear();
     addToParts(notice, now);
     const std::size_t count = notice.fingerprints.size();
     m_notices.add(std::move(notice));
@@ -85,6 +96,7 @@
 
 void CrashTracker::recordPartsServed(std::span<const std::uint64_t> parts, Instant now)
 {
+    m_partHistory.recordServed(parts, now);
     for (const std::uint64_t part : parts) {
         if (m_parts.clear(part, now))
             m_servedParts.add(part);
@@ -93,6 +105,7 @@
 
 void CrashTracker::mergeServedPart(std::uint64_t part, Instant now, bool relay)
 {
+    m_partHistory.recordServed({&part, 1}, now);
     if (m_parts.clear(part, now) && relay)
         m_servedParts.add(part);
 }
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -33,7 +33,7 @@
 std::vector<std::uint64_t> sharedPartsOf(const Prompt &prompt, std::string_view service)
 {
     std::vector<std::uint64_t> parts;
-    for (std::size_t i = 0; i + 1 < prompt.parts.size() && i < CrashingParts::MaxPartsPerRequest; ++i)
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
         parts.push_back(stableHash(service, prompt.parts[i].id));
     return parts;
 }
--- a/tests/entry/crashingparttest.cpp
+++ b/tests/entry/crashingparttest.cpp
@@ -17,14 +17,17 @@
 /// Crashes after which no further request with the part may reach an engine.
 constexpr int MaxCrashes = 5;
 
-/// A call with three prompt parts: a common one, `shared`, and one of its own.
-SiteCall promptCall(const std::string &shared, int number)
+/// A call whose prompt has common parts, then `shared` and one of its own.
+SiteCall promptCall(const std::string &shared, int number, int commonParts = 1)
 {
     const std::string own = std::to_string(number);
+    std::string common;
+    for (int i = 1; i <= commonParts; ++i)
+        common += "f" + std::to_string(i) + ":100,";
     SiteCall call = callTo("/streamonce/stream/" + own, "", "body " + own);
     call.fields = {{"X-Model", "m"},
                    {"X-Token-Count", "400,20"},
-                   {"X-Prefix-Hash", "f1:100," + shared + ":200,a" + own + ":100"}};
+                   {"X-Prefix-Hash", common + shared + ":200,a" + own + ":100"}};
     return call;
 }
 
@@ -48,35 +51,50 @@
 
 /// Sends requests that share the part that crashes engines, and sound ones with the same common part, in turn
 /// to all instances.
-void sendCrashingRequests(Site &site, int count)
+void sendCrashingRequests(Site &site, int count, int commonParts = 1)
 {
     for (int i = 0; i < count; ++i) {
-        (void)site.call(static_cast<std::size_t>(i) % site.instances().size(), promptCall("dead", i));
-        (void)site.call(static_cast<std::size_t>(i + 1) % site.instances().size(), promptCall("50d", i));
+        const auto instance = static_cast<std::size_t>(i);
+        (void)site.call(instance % site.instances().size(), promptCall("dead", i, commonParts));
+        (void)site.call((instance + 1) % site.instances().size(), promptCall("50d", i, commonParts));
     }
 }
 
-} // namespace
-
-TEST_CASE("crashing part: requests that share it are refused after few crashes, and sound ones are served")
+/// Sends requests with a part that crashes engines and checks that it is refused then, and sound ones served.
+void checkRefusedAfterFewCrashes(const std::string &name, int commonParts)
 {
     constexpr int Requests = 18;
-    Site site("crashing-part");
+    Site site(name);
     startSite(site, 3);
     REQUIRE(site.waitReady());
-    sendCrashingRequests(site, Requests);
+    sendCrashingRequests(site, Requests, commonParts);
     REQUIRE(crashedEngines(site) <= MaxCrashes);
-    for (std::size_t i = 0; i < 3; ++i) {
-        const auto refused = site.call(i, promptCall("dead", Requests + static_cast<int>(i)));
+    for (int i = 0; i < 3; ++i) {
+        const auto instance = static_cast<std::size_t>(i);
+        const auto refused = site.call(instance, promptCall("dead", Requests + i, commonParts));
         REQUIRE(refused);
         CHECK(refused->head.status == 503);
         CHECK_FALSE(refused->head.field("Retry-After").empty());
-        const auto served = site.call(i, promptCall("50d", Requests + static_cast<int>(i)));
+        const auto served = site.call(instance, promptCall("50d", Requests + i, commonParts));
         REQUIRE(served);
         CHECK(served->head.status == 200);
     }
 }
 
+} // namespace
+
+TEST_CASE("crashing part: requests that share it are refused after few crashes, and sound ones are served")
+{
+    checkRefusedAfterFewCrashes("crashing-part", 1);
+}
+
+// Guards against a part that is never suspected because of its position in a long prompt.
+TEST_CASE("crashing part: it is refused after few crashes also behind tens and hundreds of common parts")
+{
+    checkRefusedAfterFewCrashes("crashing-part-40", 39);
+    checkRefusedAfterFewCrashes("crashing-part-208", 207);
+}
+
 TEST_CASE("crashing part: an instance that starts later refuses it too")
 {
     constexpr int Requests = 12;
--- a/tests/policy/crashplaytest.cpp
+++ b/tests/policy/crashplaytest.cpp
@@ -31,6 +31,9 @@
     /// again.
     bool isPart = false;
     int seed = 1;
+    /// Parts that all prompts begin with, and parts of its own that each prompt shares with no other one.
+    std::size_t commonParts = 1;
+    std::size_t ownParts = 0;
 };
 
 struct Result
@@ -76,11 +79,15 @@
     [[nodiscard]] std::size_t draw(std::size_t count) { return m_random() % count; }
     [[nodiscard]] bool isCut(std::size_t instance) const { return m_now < m_cutUntil[instance]; }
 
-    [[nodiscard]] std::vector<std::uint64_t> partsOf(bool crashing) const
+    [[nodiscard]] std::vector<std::uint64_t> partsOf(bool crashing)
     {
-        std::vector<std::uint64_t> parts{CommonPart};
+        std::vector<std::uint64_t> parts;
+        for (std::uint64_t i = 0; i < m_play.commonParts; ++i)
+            parts.push_back(CommonPart + i);
         if (crashing && m_play.isPart)
             parts.push_back(CrashingPart);
+        for (std::size_t i = 0; i < m_play.ownParts; ++i)
+            parts.push_back(m_nextSound++);
         return parts;
     }
 
@@ -220,13 +227,16 @@
     Result m_result;
 };
 
-void checkPlays(int instances, bool isPart, int seeds)
+void checkPlays(int instances, bool isPart, int seeds, std::size_t commonParts = 1, std::size_t ownParts = 0)
 {
     for (int seed = 1; seed <= seeds; ++seed) {
         CAPTURE(instances);
         CAPTURE(isPart);
         CAPTURE(seed);
-        const Result result = Cluster({instances, std::min(6, instances / 2), 0.05, isPart, seed}).run();
+        CAPTURE(commonParts);
+        CAPTURE(ownParts);
+        const Result result =
+            Cluster({instances, std::min(6, instances / 2), 0.05, isPart, seed, commonParts, ownParts}).run();
         CHECK(result.crashes >= 3);
         CHECK(result.lateRetries <= MaxLateRetries);
         CHECK(result.refused * 50 <= result.sound);
@@ -253,3 +263,14 @@
     checkPlays(300, false, 2);
     checkPlays(300, true, 2);
 }
+
+// Guards against a part that is never suspected because a prompt has more parts than a report holds.
+TEST_CASE("crash play: a crashing part is stopped wherever it stands in prompts of hundreds of parts")
+{
+    for (const int instances : {6, 13, 30}) {
+        checkPlays(instances, true, 3, 39);
+        checkPlays(instances, true, 3, 207);
+        checkPlays(instances, true, 3, 1, 200);
+        checkPlays(instances, true, 3, 150, 100);
+    }
+}
--- a/tests/policy/crashtrackertest.cpp
+++ b/tests/policy/crashtrackertest.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -208,3 +209,27 @@
     hub.mergeCleared(HarmlessRequest, seconds(11), true);
     CHECK(hub.takeCleared().size() == 1);
 }
+
+// Guards against parts that are left out of a report because other requests have filled it.
+TEST_CASE("crash tracker: a report names the most suspect part of each of many long requests")
+{
+    constexpr std::uint64_t CrashingPart = 5000;
+    constexpr std::uint64_t Requests = 60;
+    CrashTracker tracker;
+    std::vector<std::uint64_t> common;
+    for (std::uint64_t part = 1; part <= 200; ++part)
+        common.push_back(part);
+    tracker.recordPartsServed(common, seconds(1));
+    for (std::uint64_t i = 0; i < Requests; ++i) {
+        std::vector<std::uint64_t> parts = common;
+        parts.push_back(i + 1 == Requests ? CrashingPart : 1000 + i);
+        tracker.recordStart("u1", i, parts);
+        tracker.recordEnd("u1", i, true, seconds(2));
+    }
+    CHECK(tracker.recordCrash("u1", "1", seconds(2)) == Requests);
+    const std::vector<CrashNotice> notices = tracker.takeNotices();
+    REQUIRE(notices.size() == 1);
+    CHECK(notices[0].parts.size() <= CrashTracker::MaxPartsPerNotice);
+    CHECK(std::any_of(notices[0].parts.begin(), notices[0].parts.end(),
+                      [](const SuspectPart &suspect) { return suspect.part == CrashingPart; }));
+}
