Http client: a success that ends with its connection needs a request that was received

Cause: the end of the stream ends such a body. That the rest of the request could no longer be sent counted only if the write had failed by then; the reset arrives after the end that the close has sent, and was reported to a write that nobody waited for.

Change: at such an end of a success the client waits, for 1.5 s at most, until all bytes of the request are acknowledged, and takes a failed write, a pending error of the socket or the time for a broken connection. Refusals pass as before.

Why it works: an upstream that gives up an upload leaves bytes unacknowledged or resets the connection; one that answers early and reads the rest acknowledges them, and its answer is passed on whole (new case).

Statuses that are none, and bytes without end in answers to health checks, reports, the store and peers, held before; new cases show it.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -4,9 +4,12 @@
 #include "impl/beast.h"
 #include "impl/readmessage.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 
 namespace chestnutsill {
@@ -37,6 +40,42 @@
     /// Why sending it failed. The socket reports a reset only once: to the read or to the write.
     boost::system::error_code sendError;
 
+    /// Whether the server has received all bytes of the request. Sets an error if it can't any more.
+    bool hasDelivered(boost::system::error_code &error)
+    {
+        error = sendError;
+        if (!error && !stream->socket().is_open())
+            error = boost::asio::error::operation_aborted;
+        if (error)
+            return false;
+        const int socket = stream->socket().native_handle();
+        int pending = 0;
+        socklen_t size = sizeof pending;
+        if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &pending, &size) == 0 && pending != 0) {
+            error.assign(pending, boost::system::system_category());
+            return false;
+        }
+        int unacknowledged = 0;
+        return !outgoing && ::ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+    }
+
+    /// Waits until the server has received the whole request. A server that gives up a request closes the
+    /// connection before that, and the reset that follows arrives after the end that the close has sent.
+    boost::system::error_code awaitDelivery(milliseconds timeout, const Fiber &fiber)
+    {
+        /// A server may be silent for a second while it reads the rest.
+        constexpr milliseconds MaxWait{1500};
+        constexpr milliseconds CheckInterval{5};
+        const Instant deadline = now() + std::min(timeout, MaxWait);
+        boost::system::error_code error;
+        while (!hasDelivered(error) && !error) {
+            if (now() >= deadline)
+                return beast::error::timeout;
+            sleepFor(CheckInterval, fiber);
+        }
+        return error;
+    }
+
     bool checkResult(std::string_view operation, const boost::system::error_code &error)
     {
         if (!error)
@@ -49,6 +88,7 @@
 
 namespace {
 
+constexpr unsigned FirstErrorStatus = 400;
 constexpr int KeepAliveIdleSeconds = 2;
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int MaxKeepAliveProbes = 3;
@@ -226,8 +266,11 @@
         http::async_read_some(*m_impl->stream, m_impl->buffer, parser, fiber[error]);
         if (error == http::error::need_buffer)
             error = {};
-        if (!error && parser.is_done() && parser.need_eof())
-            error = m_impl->sendError;
+        if (!error && parser.is_done() && parser.need_eof()) {
+            // A refusal says all in its head.
+            error = parser.get().result_int() < FirstErrorStatus ? m_impl->awaitDelivery(timeout, fiber)
+                                                                 : m_impl->sendError;
+        }
         if (!m_impl->checkResult("read response body", error))
             return std::nullopt;
         piece.assign(m_impl->piece.data(), m_impl->piece.size() - parser.get().body().size);
--- a/tests/entry/brokenofftest.cpp
+++ b/tests/entry/brokenofftest.cpp
@@ -202,6 +202,53 @@
     checkBroken(site, "plain", "/plain/", {PlainHead + "\r\n", "body", 2, pause, true}, body);
 }
 
+// Guards against the begin of an answer that passes for the whole because a close precedes the reset.
+TEST_CASE(
+    "broken off: an answer whose upstream closes and resets before it has read the request is not whole")
+{
+    RawSite site("broken-unread");
+    const std::string body(3 << 20, 'x');
+    for (const int delayMs : {0, 5, 50, 300}) {
+        CAPTURE(delayMs);
+        const std::chrono::milliseconds delay{delayMs};
+        for (const std::string path : {"/stream/", "/streamonce/"})
+            checkBroken(site, "stream", path, {StreamHead + "\r\n", Event, 2, {}, true, delay}, body);
+        checkBroken(site, "plain", "/plain/", {PlainHead + "\r\n", "body", 2, {}, true, delay}, body);
+        checkBroken(site, "plain, large", "/plain/", {PlainHead + "\r\n", LargeBody, 1, {}, true, delay},
+                    body);
+    }
+    checkBroken(site, "never read", "/plain/", {PlainHead + "\r\n", "body", 2}, body);
+}
+
+TEST_CASE(
+    "broken off: an answer that ends before the request is read is whole if its upstream reads the rest")
+{
+    RawSite site("early-whole");
+    const std::string body(3 << 20, 'x');
+    RawResponse response{PlainHead + "\r\n", "body", 2};
+    response.readsRest = true;
+    site.use(response);
+    const RawAnswer answer = site.call("/plain/", "1.1", body);
+    CHECK(statusOf(answer) == 200);
+    CHECK(looksComplete(answer, true));
+    site.use({"HTTP/1.1 413 Too large\r\nX-Attempt-Id: {id}\r\n\r\n", "body", 2});
+    CHECK(statusOf(site.call("/plain/", "1.1", body)) == 413);
+}
+
+// Shows what held before: callers get no status that an upstream in trouble has made up.
+TEST_CASE("broken off: an answer whose status is none is not passed on")
+{
+    RawSite site("odd-status");
+    for (const std::string status :
+         {"000", "001", "099", "600", "999", "2", "20", "2000", "+20", "-20", "abc"}) {
+        CAPTURE(status);
+        site.use(
+            {"HTTP/1.1 " + status + " Odd\r\nX-Attempt-Id: {id}\r\nContent-Length: 4\r\n\r\n", "body", 1});
+        CHECK(statusOf(site.call("/plain/", "1.1")) == 502);
+        CHECK(site.server().requests() > 0);
+    }
+}
+
 TEST_CASE("broken off: a stream that reaches its deadline does not end as complete")
 {
     RawSite site("broken-deadline");
--- a/tests/net/httpclienttest.cpp
+++ b/tests/net/httpclienttest.cpp
@@ -115,3 +115,39 @@
         }
     }
 }
+
+// Shows what holds for health checks, reports, the store and peers, which are all read by the same call.
+TEST_CASE(
+    "http client: bytes without end are not kept beyond the maximum of the body, nor read beyond a time")
+{
+    constexpr std::size_t MaxBody = 65'536;
+    constexpr std::chrono::milliseconds Timeout{200};
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string block(64 << 10, 'x');
+    const std::vector<support::RawResponse> responses{
+        {ok + "\r\n", block},
+        {ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+        {ok + "Content-Length: 99999999999\r\n\r\n", block},
+        {ok + "Transfer-Encoding: chunked\r\n\r\n1;", block},
+        {ok + "X-Name: ", block},
+        {ok, "X-Name: value\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {ok + "\r\n", "x", -1, std::chrono::milliseconds(5)},
+        {ok + "X-Name: ", "x", -1, std::chrono::milliseconds(5)},
+    };
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+        CAPTURE(i);
+        const support::RawServer server(responses[i]);
+        boost::asio::io_context io;
+        bool failed = false;
+        startFiber(io, [&](const Fiber &fiber) {
+            HttpClient client;
+            REQUIRE(client.connect(server.address(), std::chrono::milliseconds(1000), fiber));
+            failed = !client.call({.target = "/healthz"}, MaxBody, Timeout, fiber);
+            io.stop();
+        });
+        io.run();
+        CHECK(failed);
+        CHECK_FALSE(server.reachedLimit());
+    }
+}
--- a/tests/support/rawserver.cpp
+++ b/tests/support/rawserver.cpp
@@ -94,6 +94,13 @@
     ::close(connection);
 }
 
+void RawServer::readRest(int connection)
+{
+    std::vector<char> buffer(1 << 16);
+    while (::recv(connection, buffer.data(), buffer.size(), 0) > 0) {
+    }
+}
+
 void RawServer::serve(int connection)
 {
     std::string request;
@@ -122,11 +129,17 @@
         if (response.pause.count() > 0)
             std::this_thread::sleep_for(response.pause);
     }
-    if (open && response.resets)
-        reset(connection);
-    else if (open)
+    const bool closes = !response.resets || response.closedBeforeReset.count() >= 0;
+    if (open && closes)
         ::shutdown(connection, SHUT_WR);
-    else if (!m_stopping)
+    if (open && response.resets) {
+        if (closes)
+            std::this_thread::sleep_for(response.closedBeforeReset);
+        reset(connection);
+    } else if (open && response.readsRest) {
+        readRest(connection);
+    }
+    if (!open && !m_stopping)
         ++m_closedByPeer;
 }
 
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -22,6 +22,10 @@
     std::chrono::milliseconds pause{0};
     /// Whether the server resets the connection at the end instead of closing it.
     bool resets = false;
+    /// How long before a reset the server closes its side; not at all if it is negative.
+    std::chrono::milliseconds closedBeforeReset{-1};
+    /// Whether the server reads the rest of the request after it has closed its side.
+    bool readsRest = false;
 };
 
 /// A TCP server on loopback that sends bytes of the test's choice, whether or not they are HTTP. It stops
@@ -53,6 +57,7 @@
     void acceptConnections();
     void serve(int connection);
     void reset(int connection);
+    static void readRest(int connection);
     [[nodiscard]] bool sendAll(int connection, const std::string &bytes);
 
     RawResponse m_response;
