Change log: bounded by the bytes of its changes

Cause: the log of changes for followers keeps 2,048 changes whole, whatever their size.

Evidence: the new case "change log: changes are kept up to a number of bytes" on the code before keeps all 100 changes of 857 kB.

Change: the oldest changes are discarded above 4 MiB too. An answer of a peer is read up to 16 MiB, four times what a peer of this build keeps of changes.

--- a/include/chestnutsill/policy/changelog.h
+++ b/include/chestnutsill/policy/changelog.h
@@ -24,13 +24,16 @@
 };
 
 /// The items of the store as this instance has read them and their latest changes, for peers that follow the
-/// store through its feed. When the log of changes is full, the oldest one is discarded. Not thread-safe.
+/// store through its feed. When the log of changes is full, the oldest ones are discarded. Not thread-safe.
 class ChangeLog
 {
 public:
     /// Maximum number of changes kept: a few seconds at the highest rate of changes, in which a follower
     /// polls many times.
     static constexpr std::size_t MaxChanges = 2048;
+    /// Maximum number of bytes of their keys and values: a few tables of the maximum size. A follower that
+    /// lacks older ones takes a snapshot, which is smaller than as many changes of one item.
+    static constexpr std::size_t MaxChangeBytes = 4 << 20;
 
     /// Replaces all items by those of a full read of the store at this revision, and clears the log.
     void restart(std::vector<PublishedItem> items, StoreRevision revision);
@@ -51,10 +54,13 @@
     [[nodiscard]] StoreRevision revision() const noexcept { return m_revision; }
 
 private:
+    void discardOldest();
+
     /// Changes up to this revision have been discarded.
     std::uint64_t m_discardedUpTo = 0;
     StoreRevision m_revision;
     std::deque<PublishedItem> m_changes;
+    std::size_t m_changeBytes = 0;
     std::map<std::string, PublishedItem, std::less<>> m_items;
 };
 
--- a/src/daemon/peerfeed.cpp
+++ b/src/daemon/peerfeed.cpp
@@ -8,7 +8,8 @@
 
 /// Maximum duration of a poll, whatever the follower asks for.
 constexpr milliseconds MaxPollDuration{5000};
-constexpr std::size_t MaxAnswerBytes = 64 << 20;
+/// Several times what a peer keeps of changes, or a snapshot of a table and thousands of entries.
+constexpr std::size_t MaxAnswerBytes = 16 << 20;
 constexpr int StatusOk = 200;
 constexpr int StatusGone = 410;
 
--- a/src/policy/changelog.cpp
+++ b/src/policy/changelog.cpp
@@ -4,9 +4,19 @@
 
 namespace chestnutsill {
 
+namespace {
+
+std::size_t bytesOf(const PublishedItem &item) noexcept
+{
+    return item.key.size() + item.value.size();
+}
+
+} // namespace
+
 void ChangeLog::restart(std::vector<PublishedItem> items, StoreRevision revision)
 {
     m_changes.clear();
+    m_changeBytes = 0;
     m_items.clear();
     for (PublishedItem &item : items) {
         std::string key = item.key;
@@ -23,10 +33,16 @@
         m_items.erase(item.key);
     else
         m_items.insert_or_assign(item.key, item);
+    m_changeBytes += bytesOf(item);
     m_changes.push_back(std::move(item));
-    if (m_changes.size() <= MaxChanges)
-        return;
+    while (m_changes.size() > MaxChanges || m_changeBytes > MaxChangeBytes)
+        discardOldest();
+}
+
+void ChangeLog::discardOldest()
+{
     m_discardedUpTo = m_changes.front().revision;
+    m_changeBytes -= bytesOf(m_changes.front());
     m_changes.pop_front();
 }
 
--- a/tests/policy/feedselectortest.cpp
+++ b/tests/policy/feedselectortest.cpp
@@ -265,3 +265,29 @@
     const FeedCandidates candidates = membership.feedCandidates(Start);
     CHECK(candidates.addresses.empty());
 }
+
+// Guards against large tables in quick succession that fill the memory of an instance.
+TEST_CASE("change log: changes are kept up to a number of bytes, and older ones are replaced by a snapshot")
+{
+    constexpr std::size_t TableBytes = 857'000;
+    constexpr std::uint64_t Versions = 100;
+    ChangeLog changes;
+    changes.restart({}, {1, 1});
+    for (std::uint64_t version = 1; version <= Versions; ++version)
+        changes.add({"table", std::string(TableBytes, 'x'), 1 + version, false});
+    std::size_t kept = 0;
+    for (std::uint64_t after = 1; after <= Versions; ++after) {
+        const auto since = changes.since({1, after});
+        if (!since)
+            continue;
+        CHECK(since->size() == Versions + 1 - after);
+        std::size_t bytes = 0;
+        for (const PublishedItem &item : *since)
+            bytes += item.key.size() + item.value.size();
+        kept = std::max(kept, bytes);
+    }
+    CHECK(kept > 0);
+    CHECK(kept <= ChangeLog::MaxChangeBytes);
+    CHECK(changes.since({1, Versions + 1}));
+    CHECK(changes.snapshot().size() == 1);
+}
