Store: values of no use are dropped with their memory, and not decoded

Cause: std::string keeps its capacity when it is cleared or assigned an empty one.

Change: values too large for their key are recognized by their encoded size and not decoded; those of peers are swapped away. Keys with a zero byte pass through the feed whole. The selection of suspects is written with equal_range. Other targets with queries are built by queryTarget too.

--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -1,6 +1,7 @@
 #include "daemon/controlplane.h"
 
 #include "chestnutsill/net/httpclient.h"
+#include "chestnutsill/net/querytarget.h"
 #include "chestnutsill/observe/log.h"
 
 #include <random>
@@ -31,8 +32,9 @@
 {
     for (;;) {
         const std::uint64_t version = view.published().version;
-        const std::string target = "/config?after=" + std::to_string(version)
-                                   + "&waitMs=" + std::to_string(LongPollDuration.count());
+        const std::string target =
+            queryTarget("/config", {{"after", std::to_string(version)},
+                                    {"waitMs", std::to_string(LongPollDuration.count())}});
         std::string reason;
         const auto response = fetch(service, {.target = target}, WatchTimeout, fiber, reason);
         if (response && response->head.status == 200) {
--- a/src/daemon/peerfeed.cpp
+++ b/src/daemon/peerfeed.cpp
@@ -1,5 +1,7 @@
 #include "daemon/peerfeed.h"
 
+#include "chestnutsill/net/querytarget.h"
+
 #include <charconv>
 
 namespace chestnutsill {
@@ -63,9 +65,10 @@
 std::optional<FeedAnswer> FeedClient::follow(const FeedSource &source, StoreRevision after, milliseconds wait,
                                              milliseconds timeout, const Fiber &fiber)
 {
-    const std::string target = std::string(FeedPath) + "?after=" + std::to_string(after.number)
-                               + "&era=" + std::to_string(after.era) + "&wait=" + std::to_string(wait.count())
-                               + (source.acceptsStale ? "&stale=1" : "");
+    const std::string target = queryTarget(FeedPath, {{"after", std::to_string(after.number)},
+                                                      {"era", std::to_string(after.era)},
+                                                      {"wait", std::to_string(wait.count())},
+                                                      {"stale", source.acceptsStale ? "1" : "0"}});
     const auto response = m_client.call(source.peer, {.target = target}, MaxAnswerBytes, timeout, fiber);
     if (!response) {
         m_reason = m_client.lastReason();
--- a/src/peer/feed.cpp
+++ b/src/peer/feed.cpp
@@ -24,7 +24,8 @@
 
 void write(wire::PublishedItem::Builder out, const PublishedItem &item)
 {
-    out.setKey(item.key.c_str());
+    // Keys of other writers may hold a zero byte.
+    out.setKey({item.key.c_str(), item.key.size()});
     out.setValue(impl::toData(item.value));
     out.setRevision(item.revision);
     out.setDeleted(item.deleted);
--- a/src/policy/parthistory.cpp
+++ b/src/policy/parthistory.cpp
@@ -56,8 +56,8 @@
         Instant servedAt{};
         std::size_t position = 0;
     };
-    const auto isSameRank = [](const Candidate &a, const Candidate &b) {
-        return a.failures == b.failures && a.servedAt == b.servedAt;
+    const auto isMoreSuspect = [](const Candidate &a, const Candidate &b) {
+        return std::tuple(b.failures, a.servedAt) < std::tuple(a.failures, b.servedAt);
     };
     std::vector<Candidate> candidates;
     candidates.reserve(parts.size());
@@ -65,21 +65,14 @@
         const Record record = find(parts[i]);
         candidates.push_back({record.failures, record.servedAt, i});
     }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-        return std::tuple(b.failures, a.servedAt, a.position)
-               < std::tuple(a.failures, b.servedAt, b.position);
-    });
+    std::stable_sort(candidates.begin(), candidates.end(), isMoreSuspect);
     if (candidates.size() > max) {
-        // Leaves out the middle of the parts that are equal to the last one selected.
-        auto first = candidates.begin() + static_cast<std::ptrdiff_t>(max);
-        auto last = first;
-        while (first != candidates.begin() && isSameRank(*std::prev(first), *last))
-            --first;
-        while (last != candidates.end() && isSameRank(*first, *last))
-            ++last;
-        const auto excess = (last - first) - (candidates.begin() + static_cast<std::ptrdiff_t>(max) - first);
-        const auto selected = (last - first) - excess;
-        candidates.erase(first + (selected + 1) / 2, first + (selected + 1) / 2 + excess);
+        // Of the parts that are as suspect as the first one that is too many, those in the middle are left
+        // out.
+        const auto [first, last] =
+            std::equal_range(candidates.begin(), candidates.end(), candidates[max], isMoreSuspect);
+        const std::ptrdiff_t kept = static_cast<std::ptrdiff_t>(max) - (first - candidates.begin());
+        candidates.erase(first + (kept + 1) / 2, last - kept / 2);
         candidates.resize(max);
     }
     std::vector<SuspectPart> suspects;
--- a/tests/daemon/peerfeedtest.cpp
+++ b/tests/daemon/peerfeedtest.cpp
@@ -63,8 +63,11 @@
     });
     startFiber(io, [&](const Fiber &fiber) {
         sleepFor(milliseconds(20), fiber);
-        available =
-            FeedAnswer{{{"key", std::string("v\0lue", 5), 7, false}}, {2, 9}, milliseconds(10), {}, true};
+        available = FeedAnswer{{{std::string("k\0y", 3), std::string("v\0lue", 5), 7, false}},
+                               {2, 9},
+                               milliseconds(10),
+                               {},
+                               true};
         feed.wake();
     });
     io.run();
@@ -72,5 +75,6 @@
     CHECK(answer->isSnapshot);
     CHECK(answer->revision == StoreRevision{2, 9});
     REQUIRE(answer->items.size() == 1);
+    CHECK(answer->items[0].key == std::string("k\0y", 3));
     CHECK(answer->items[0].value == std::string("v\0lue", 5));
 }
--- a/tests/entry/memoryboundtest.cpp
+++ b/tests/entry/memoryboundtest.cpp
@@ -257,3 +257,20 @@
         CHECK(support::statusOf(answer) == 200);
     }
 }
+
+// Guards against values of other writers that an instance keeps while it reads the store.
+TEST_CASE("memory bound: large items of other writers in the store are not kept")
+{
+    constexpr int Items = 200;
+    Site site("memory-items");
+    const std::string large(300'000, 'x');
+    for (int i = 0; i < Items; ++i)
+        site.writeItem((i % 2 == 0 ? "servers/odd-" : "batch/") + std::to_string(i), large);
+    site.addUpstream("zone-desk", "desk");
+    site.start(1);
+    REQUIRE(waitUntil([&] { return site.readiness(0) == 200; }));
+    const auto answer = site.call(0, callTo("/plain/x", ""));
+    const bool isServed = answer && answer->head.status == 200;
+    CHECK(isServed);
+    CHECK(statusKb(site.instances()[0].process->pid(), "VmHWM") < MemoryMb << 10);
+}
--- a/tests/platform/storetest.cpp
+++ b/tests/platform/storetest.cpp
@@ -134,6 +134,24 @@
     CHECK(result.failure == StoreFailure::NoProgress);
 }
 
+TEST_CASE("store: an item of a peer is reduced to what is of use, and its memory is freed")
+{
+    const std::string large(1 << 20, 'x');
+    for (const char *key : {"op/evacuate/a", "servers/a"}) {
+        PublishedItem item{key, large, 7, false};
+        CHECK(reduceItem(item));
+        CHECK(item.value.capacity() < 1000);
+    }
+    PublishedItem other{"batch/1", large, 7, false};
+    CHECK_FALSE(reduceItem(other));
+    PublishedItem table{"op/config", large, 7, false};
+    CHECK(reduceItem(table));
+    CHECK(table.value == large);
+    PublishedItem entry{"servers/a", "{}", 7, false};
+    CHECK(reduceItem(entry));
+    CHECK(entry.value == "{}");
+}
+
 TEST_CASE("store: a read begins anew when the store is restored between two pages")
 {
     PagedStore store;
@@ -162,6 +180,9 @@
     CHECK(result.response->items[0].value == "{}");
     CHECK(result.response->items[1].value.empty());
     CHECK(result.response->items[2].value.empty());
+    // Nor is their memory kept.
+    for (const PublishedItem &item : result.response->items)
+        CHECK(item.value.capacity() < 1000);
     CHECK(result.response->items[3].value == "{}");
     // Neither the second item before the first key of use nor the second after the last one.
     CHECK(store.pages == 7);
