Tests: the incident of odd keys, with lists of several pages by bytes and by number

What callers saw: an entry of another writer stood in the list of upstreams, its key held a character such as &, +, #, % or a blank, and the list was longer than one page. After all processes were restarted almost no request was served.

The existing test stays. New: pages of the size of the platform's store, ended by one entry of 1 MB, and by the number of entries (1,100 for each of the five characters), with sound entries before and behind.

--- a/tests/entry/oddentrytest.cpp
+++ b/tests/entry/oddentrytest.cpp
@@ -23,6 +23,41 @@
     });
 }
 
+/// Kills all instances, starts them again, and waits until they serve.
+bool restartAll(Site &site)
+{
+    for (Site::Instance &instance : site.instances())
+        instance.process->kill();
+    for (std::size_t i = 0; i < site.instances().size(); ++i)
+        site.startInstance(i);
+    return support::waitUntil([&] {
+        for (std::size_t i = 0; i < site.instances().size(); ++i) {
+            if (site.readiness(i) != 200)
+                return false;
+        }
+        return true;
+    });
+}
+
+/// Checks that each instance uses exactly these upstreams and serves a request.
+void checkServes(Site &site, std::size_t upstreams)
+{
+    for (std::size_t i = 0; i < site.instances().size(); ++i) {
+        CAPTURE(i);
+        CHECK(follows(site, i, upstreams));
+        const auto answer = site.call(i, callTo("/plain/x", ""));
+        const bool isServed = answer && answer->head.status == 200;
+        CHECK(isServed);
+    }
+}
+
+/// Pages as large as those of the platform's store.
+constexpr const char *LargePages = R"({"pageItems":500,"pageBytes":1000000})";
+
+/// Keys of another writer with bytes that have a meaning in a query.
+constexpr const char *OddKeys[] = {"servers/i-41&batch", "servers/i-41+batch", "servers/i-41#batch",
+                                   "servers/i-41%26batch", "servers/i-41 batch"};
+
 } // namespace
 
 TEST_CASE(
@@ -88,16 +123,45 @@
         site.addUpstream("zone-desk", "desk");
         site.start(2);
         CHECK(site.waitReady());
-        for (std::size_t i = 0; i < 2; ++i) {
-            site.instances()[i].process->kill();
-            site.startInstance(i);
-        }
-        CHECK(support::waitUntil([&] { return site.readiness(0) == 200 && site.readiness(1) == 200; }));
-        for (std::size_t i = 0; i < 2; ++i) {
-            CHECK(follows(site, i, 1));
-            const auto answer = site.call(i, callTo("/plain/x", ""));
-            const bool isServed = answer && answer->head.status == 200;
-            CHECK(isServed);
-        }
+        CHECK(restartAll(site));
+        checkServes(site, 1);
+    }
+}
+
+TEST_CASE(
+    "odd entry: instances serve after a restart beside a list of several pages by the bytes of an entry")
+{
+    for (const std::string key : OddKeys) {
+        CAPTURE(key);
+        Site site("odd-large");
+        site.commandStore(LargePages);
+        site.addUpstream("i-40", "desk");
+        site.addUpstream("i-42", "desk");
+        site.start(2);
+        REQUIRE(site.waitReady());
+        site.writeItem(key, std::string(1 << 20, 'x'));
+        checkServes(site, 2);
+        CHECK(restartAll(site));
+        checkServes(site, 2);
+    }
+}
+
+TEST_CASE(
+    "odd entry: instances serve after a restart beside a list of several pages by the number of entries")
+{
+    for (const std::string key : OddKeys) {
+        CAPTURE(key);
+        Site site("odd-many");
+        site.commandStore(LargePages);
+        site.addUpstream("i-40", "desk");
+        site.addUpstream("i-42", "desk");
+        site.start(2);
+        REQUIRE(site.waitReady());
+        // Three pages, the first two of which end with one of them.
+        for (int i = 0; i < 1100; ++i)
+            site.writeItem(key + std::to_string(i), "{}");
+        checkServes(site, 2);
+        CHECK(restartAll(site));
+        checkServes(site, 2);
     }
 }
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -45,9 +45,9 @@
 
 /// Stand-in for the platform's store as instances read it, with paged ranges, long-polling watches and a
 /// history that can be dropped. Operators and upstreams write with PUT and DELETE /item?key=KEY. Commands to
-/// /control have the fields `mode` (pass, refuse, silent), `dropHistory`, `copy` (keeps a copy of all items)
-/// and `restore` (returns to the copy, so that later revisions are given out again). Options: listen, page
-/// (items per page).
+/// /control have the fields `mode` (pass, refuse, silent), `dropHistory`, `copy` (keeps a copy of all items),
+/// `restore` (returns to the copy, so that later revisions are given out again), `pageItems` and `pageBytes`
+/// (items and bytes of values after which a page ends). Options: listen, page (items per page).
 class Store
 {
 public:
@@ -106,6 +106,10 @@
             m_mode = json::value_to<std::string>(*mode);
         if (const auto *odd = command.if_contains("oddItems"))
             m_oddItems = odd->as_array();
+        if (const auto *items = command.if_contains("pageItems"))
+            m_page = json::value_to<std::size_t>(*items);
+        if (const auto *bytes = command.if_contains("pageBytes"))
+            m_pageBytes = json::value_to<std::size_t>(*bytes);
         if (flag(command, "dropHistory")) {
             m_history.clear();
             m_historyStart = m_revision;
@@ -152,13 +156,15 @@
         const std::string prefix = query(target, "path_prefix");
         json::array items = m_oddItems;
         bool more = false;
+        std::size_t bytes = 0;
         for (auto item = m_items.upper_bound(query(target, "after")); item != m_items.end(); ++item) {
             if (!item->first.starts_with(prefix))
                 continue;
-            more = items.size() == m_page + m_oddItems.size();
+            more = items.size() == m_page + m_oddItems.size() || bytes >= m_pageBytes;
             if (more)
                 break;
             items.push_back(describe(item->second));
+            bytes += item->second.value.size();
         }
         answer(exchange, 200,
                json::object{{"items", std::move(items)}, {"has_more", more}, {"at", m_revision}}, fiber);
@@ -194,6 +200,7 @@
     using Copy = std::tuple<std::map<std::string, Item>, std::deque<Item>, std::uint64_t, std::uint64_t>;
 
     std::size_t m_page;
+    std::size_t m_pageBytes = 1'000'000;
     /// Items that all responses hold besides.
     json::array m_oddItems;
     std::map<std::string, Item> m_items;
