Store: an item that can't be read is left out, and the others of its response are kept

Running instances went on serving with what they knew, but followed no change of the store any more.

Cause: a page, and a response to a watch, was parsed as one document, and Boost.JSON refuses a document for one string with half of a pair, which JSON's grammar allows. So the response was malformed, again and again. The same held for anything else in an item that the parser refuses: deep nesting, an unknown escape, a raw control character.

Why this works: responses are split into items, and items into members, by quotes, brackets and commas alone; each member is parsed by itself.

Messages between instances are unchanged.

--- a/include/chestnutsill/config/jsonobjectreader.h
+++ b/include/chestnutsill/config/jsonobjectreader.h
@@ -88,4 +88,10 @@
 [[nodiscard]] boost::json::value parseJson(std::string_view text, ValidationErrors &errors,
                                            Utf8Check check = Utf8Check::Strict);
 
+/// Parses the text of a JSON object member by member. Those that are malformed are left out, and the others
+/// are kept. Adds an error for the first one, whose path begins with `path`. Text that is no object has an
+/// error and no members.
+[[nodiscard]] boost::json::object parseMembers(std::string_view text, std::string_view path,
+                                               ValidationErrors &errors, Utf8Check check = Utf8Check::Strict);
+
 } // namespace chestnutsill
--- a/src/config/jsonobjectreader.cpp
+++ b/src/config/jsonobjectreader.cpp
@@ -1,8 +1,11 @@
 #include "chestnutsill/config/jsonobjectreader.h"
 
 #include "chestnutsill/config/address.h"
+#include "chestnutsill/config/jsonparts.h"
 #include "chestnutsill/policy/requestid.h"
 
+#include <utility>
+
 namespace chestnutsill {
 
 namespace json = boost::json;
@@ -179,4 +182,24 @@
     return value;
 }
 
+json::object parseMembers(std::string_view text, std::string_view path, ValidationErrors &errors,
+                          Utf8Check check)
+{
+    json::object members;
+    bool hasError = false;
+    const bool isComplete = splitJsonObject(text, [&](std::string_view name, std::string_view member) {
+        ValidationErrors memberErrors;
+        json::value value = parseJson(member, memberErrors, check);
+        if (memberErrors.empty())
+            members.insert_or_assign({name.data(), name.size()}, std::move(value));
+        else if (!std::exchange(hasError, true))
+            errors.push_back({std::string(path) + '.' + std::string(name), memberErrors[0].message});
+    });
+    if (!isComplete) {
+        errors.push_back({std::string(path), "must be an object"});
+        members.clear();
+    }
+    return members;
+}
+
 } // namespace chestnutsill
--- /dev/null
+++ b/src/config/jsonparts.cpp
@@ -0,0 +1,213 @@
+#include "chestnutsill/config/jsonparts.h"
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+
+namespace chestnutsill {
+
+namespace {
+
+constexpr std::string_view Whitespace = " \t\r\n";
+
+std::string_view trimmed(std::string_view text) noexcept
+{
+    text.remove_prefix(std::min(text.find_first_not_of(Whitespace), text.size()));
+    return text.substr(0, text.find_last_not_of(Whitespace) + 1);
+}
+
+/// Position after the string that begins at `at`; the size of the text if it doesn't end.
+std::size_t endOfString(std::string_view text, std::size_t at) noexcept
+{
+    for (++at; at < text.size(); ++at) {
+        if (text[at] == '\\')
+            ++at;
+        else if (text[at] == '"')
+            return at + 1;
+    }
+    return text.size();
+}
+
+/// Position of the comma or bracket that ends the part which begins at `at`; the size of the text if there is
+/// none.
+std::size_t endOfPart(std::string_view text, std::size_t at) noexcept
+{
+    std::size_t depth = 0;
+    while (at < text.size()) {
+        switch (text[at]) {
+        case '"':
+            at = endOfString(text, at);
+            continue;
+        case '[':
+        case '{':
+            ++depth;
+            break;
+        case ']':
+        case '}':
+            if (depth == 0)
+                return at;
+            --depth;
+            break;
+        case ',':
+            if (depth == 0)
+                return at;
+            break;
+        default:
+            break;
+        }
+        ++at;
+    }
+    return text.size();
+}
+
+/// Calls `each` with every part between two brackets. Returns whether the text ends with the second one.
+template<typename Each>
+bool splitParts(std::string_view text, char open, char close, const Each &each)
+{
+    text = trimmed(text);
+    if (!text.starts_with(open))
+        return false;
+    for (std::size_t at = 1;;) {
+        const std::size_t end = endOfPart(text, at);
+        if (end == text.size())
+            return false;
+        const std::string_view part = trimmed(text.substr(at, end - at));
+        const bool isLast = text[end] != ',';
+        const bool isEmptyList = isLast && at == 1 && part.empty();
+        if (!isEmptyList)
+            each(part);
+        if (isLast)
+            return text[end] == close && end + 1 == text.size();
+        at = end + 1;
+    }
+}
+
+/// Code unit of the escape `\uXXXX` at the start of the text.
+std::optional<std::uint32_t> codeUnit(std::string_view text) noexcept
+{
+    constexpr std::size_t Digits = 4;
+    if (!text.starts_with("\\u") || text.size() < 2 + Digits)
+        return std::nullopt;
+    std::uint32_t unit = 0;
+    const char *end = text.data() + 2 + Digits;
+    const auto [stop, error] = std::from_chars(text.data() + 2, end, unit, 16);
+    return error == std::errc() && stop == end ? std::optional(unit) : std::nullopt;
+}
+
+constexpr std::uint32_t FirstHighSurrogate = 0xD800;
+constexpr std::uint32_t FirstLowSurrogate = 0xDC00;
+constexpr std::uint32_t LastLowSurrogate = 0xDFFF;
+
+bool isHighSurrogate(std::uint32_t unit) noexcept
+{
+    return unit >= FirstHighSurrogate && unit < FirstLowSurrogate;
+}
+
+bool isLowSurrogate(std::uint32_t unit) noexcept
+{
+    return unit >= FirstLowSurrogate && unit <= LastLowSurrogate;
+}
+
+/// Appends a code point, which may be a surrogate, in the form of UTF-8.
+void appendUtf8(std::string &out, std::uint32_t codePoint)
+{
+    const auto continuation = [&](int shift) {
+        return static_cast<char>(0x80 | ((codePoint >> shift) & 0x3F));
+    };
+    if (codePoint < 0x80) {
+        out += static_cast<char>(codePoint);
+    } else if (codePoint < 0x800) {
+        out += static_cast<char>(0xC0 | (codePoint >> 6));
+        out += continuation(0);
+    } else if (codePoint < 0x10000) {
+        out += static_cast<char>(0xE0 | (codePoint >> 12));
+        out += continuation(6);
+        out += continuation(0);
+    } else {
+        out += static_cast<char>(0xF0 | (codePoint >> 18));
+        out += continuation(12);
+        out += continuation(6);
+        out += continuation(0);
+    }
+}
+
+char unescaped(char escape) noexcept
+{
+    switch (escape) {
+    case 'b':
+        return '\b';
+    case 'f':
+        return '\f';
+    case 'n':
+        return '\n';
+    case 'r':
+        return '\r';
+    case 't':
+        return '\t';
+    default:
+        return escape;
+    }
+}
+
+/// Appends the character of the escape sequence at the start of the text. Returns the size of the sequence.
+std::size_t appendEscape(std::string &out, std::string_view text, LoneSurrogate loneSurrogate)
+{
+    constexpr std::size_t UnitSize = 6;
+    constexpr std::uint32_t FirstByte = FirstLowSurrogate + 0x80;
+    constexpr std::uint32_t LastByte = FirstLowSurrogate + 0xFF;
+    const auto unit = codeUnit(text);
+    if (!unit) {
+        if (text.size() > 1)
+            out += unescaped(text[1]);
+        return 2;
+    }
+    const auto next = isHighSurrogate(*unit) ? codeUnit(text.substr(UnitSize)) : std::nullopt;
+    if (next && isLowSurrogate(*next)) {
+        appendUtf8(out, 0x10000 + ((*unit - FirstHighSurrogate) << 10) + (*next - FirstLowSurrogate));
+        return 2 * UnitSize;
+    }
+    if (loneSurrogate == LoneSurrogate::Byte && *unit >= FirstByte && *unit <= LastByte)
+        out += static_cast<char>(*unit - FirstLowSurrogate);
+    else
+        appendUtf8(out, *unit);
+    return UnitSize;
+}
+
+} // namespace
+
+bool splitJsonArray(std::string_view text, const std::function<void(std::string_view)> &each)
+{
+    return splitParts(text, '[', ']', each);
+}
+
+bool splitJsonObject(std::string_view text,
+                     const std::function<void(std::string_view, std::string_view)> &each)
+{
+    return splitParts(text, '{', '}', [&](std::string_view member) {
+        const std::size_t nameEnd = member.starts_with('"') ? endOfString(member, 0) : 0;
+        const std::string_view rest = trimmed(member.substr(nameEnd));
+        if (nameEnd > 0 && rest.starts_with(':'))
+            each(decodeJsonString(member.substr(0, nameEnd), LoneSurrogate::CodePoint),
+                 trimmed(rest.substr(1)));
+        else
+            each({}, member);
+    });
+}
+
+std::string decodeJsonString(std::string_view text, LoneSurrogate loneSurrogate)
+{
+    std::string decoded;
+    if (text.size() < 2 || !text.starts_with('"') || !text.ends_with('"'))
+        return decoded;
+    text = text.substr(1, text.size() - 2);
+    while (!text.empty()) {
+        const std::size_t plain = std::min(text.find('\\'), text.size());
+        decoded += text.substr(0, plain);
+        text.remove_prefix(plain);
+        if (!text.empty())
+            text.remove_prefix(std::min(appendEscape(decoded, text, loneSurrogate), text.size()));
+    }
+    return decoded;
+}
+
+} // namespace chestnutsill
--- a/tests/entry/oddentrytest.cpp
+++ b/tests/entry/oddentrytest.cpp
@@ -165,3 +165,51 @@
         checkServes(site, 2);
     }
 }
+
+// Guards against one key that makes all of its page, of an answer to a watch or of a feed unreadable.
+TEST_CASE("odd entry: a key with half of a surrogate pair leaves the others, while instances run and after a "
+          "restart")
+{
+    struct Case
+    {
+        const char *key;
+        std::size_t valueSize;
+    };
+    for (const auto &[key, valueSize] :
+         {Case{"servers/i-41\xff", 20}, Case{"servers/i-41\xff", 1 << 20}, Case{"servers/\x80", 1 << 20},
+          Case{"op/\xff", 20}, Case{"a\xff", 1 << 20}, Case{"zz\xff", 20}}) {
+        CAPTURE(std::string(key));
+        CAPTURE(valueSize);
+        Site site("odd-surrogate");
+        site.commandStore(LargePages);
+        site.commandStore(R"({"escapeBytes":true})");
+        site.addUpstream("i-40", "desk");
+        site.start(2);
+        REQUIRE(site.waitReady());
+        site.writeItem(key, std::string(valueSize, 'x'));
+        site.addUpstream("i-42", "desk");
+        checkServes(site, 2);
+        CHECK(restartAll(site));
+        checkServes(site, 2);
+        site.removeItem(key);
+        site.addUpstream("i-43", "desk");
+        checkServes(site, 3);
+    }
+}
+
+TEST_CASE("odd entry: keys with halves of surrogate pairs that fill several pages leave the others, for "
+          "followers too")
+{
+    Site site("odd-surrogates");
+    site.commandStore(R"({"escapeBytes":true})");
+    site.addUpstream("i-40", "desk");
+    // Enough instances that most of them read from a hub.
+    site.start(13);
+    REQUIRE(site.waitReady());
+    for (int i = 0; i < 12; ++i)
+        site.writeItem("servers/i-41\xff" + std::to_string(i), "{}");
+    site.addUpstream("i-42", "desk");
+    checkServes(site, 2);
+    CHECK(restartAll(site));
+    checkServes(site, 2);
+}
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -26,6 +26,20 @@
     return encoded;
 }
 
+std::string withEscapedBytes(std::string_view text)
+{
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::string escaped;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (byte < 0x80)
+            escaped += character;
+        else
+            escaped += std::string("\\udc") + Digits[byte >> 4] + Digits[byte & 0xF];
+    }
+    return escaped;
+}
+
 /// Value of a field of a target's query, decoded; empty if there is none.
 std::string query(const std::string &target, const std::string &name)
 {
@@ -47,7 +61,9 @@
 /// history that can be dropped. Operators and upstreams write with PUT and DELETE /item?key=KEY. Commands to
 /// /control have the fields `mode` (pass, refuse, silent), `dropHistory`, `copy` (keeps a copy of all items),
 /// `restore` (returns to the copy, so that later revisions are given out again), `pageItems` and `pageBytes`
-/// (items and bytes of values after which a page ends). Options: listen, page (items per page).
+/// (items and bytes of values after which a page ends), and `escapeBytes` (responses have the code point
+/// U+DC00 + byte, half of a surrogate pair, for each byte that is not ASCII). Options: listen, page (items
+/// per page).
 class Store
 {
 public:
@@ -110,6 +126,8 @@
             m_page = json::value_to<std::size_t>(*items);
         if (const auto *bytes = command.if_contains("pageBytes"))
             m_pageBytes = json::value_to<std::size_t>(*bytes);
+        if (command.contains("escapeBytes"))
+            m_escapesBytes = flag(command, "escapeBytes");
         if (flag(command, "dropHistory")) {
             m_history.clear();
             m_historyStart = m_revision;
@@ -132,7 +150,10 @@
     /// Answers with the number of restorations, which all responses of the store state.
     void answer(Exchange &exchange, int status, const json::value &value, const Fiber &fiber) const
     {
-        exchange.respond(status, "application/json", json::serialize(value) + '\n',
+        std::string body = json::serialize(value);
+        if (m_escapesBytes)
+            body = withEscapedBytes(body);
+        exchange.respond(status, "application/json", body + '\n',
                          std::vector<HttpField>{{"Store-Era", std::to_string(m_era)}}, fiber);
     }
 
@@ -201,6 +222,7 @@
 
     std::size_t m_page;
     std::size_t m_pageBytes = 1'000'000;
+    bool m_escapesBytes = false;
     /// Items that all responses hold besides.
     json::array m_oddItems;
     std::map<std::string, Item> m_items;
