Load reports: a member that can't be read leaves the others

What callers saw (own interface): an upstream whose load report holds one string that can't be read, in a member that nobody reads, has no report, so that it is not used when a home needs one.

Why this works: each member is parsed by itself, and only those that are read have to be readable. A report without its incarnation or readiness, or one that breaks off, is none, as before.

--- a/src/daemon/loadreport.cpp
+++ b/src/daemon/loadreport.cpp
@@ -1,5 +1,7 @@
 #include "daemon/loadreport.h"
 
+#include "chestnutsill/config/jsonobjectreader.h"
+
 #include <boost/json.hpp>
 
 namespace chestnutsill {
@@ -21,11 +23,11 @@
         reason = client.lastReason();
         return std::nullopt;
     }
-    json::error_code error;
-    const json::value value = json::parse(response->body, error);
-    const json::object *report = error ? nullptr : value.if_object();
-    const json::value *incarnation = report != nullptr ? report->if_contains("incarnation") : nullptr;
-    const json::value *ready = report != nullptr ? report->if_contains("ready") : nullptr;
+    // Upstreams may report more than what is read here.
+    ValidationErrors ignored;
+    const json::object report = parseMembers(response->body, "report", ignored);
+    const json::value *incarnation = report.if_contains("incarnation");
+    const json::value *ready = report.if_contains("ready");
     if (incarnation == nullptr || !incarnation->is_string() || ready == nullptr || !ready->is_bool()) {
         reason = "load report without incarnation or ready";
         return std::nullopt;
@@ -34,8 +36,7 @@
     result.upstream = upstream;
     result.incarnation = std::string(incarnation->get_string());
     result.ready = ready->get_bool();
-    if (const json::value *running = report->if_contains("running");
-        running != nullptr && running->is_int64())
+    if (const json::value *running = report.if_contains("running"); running != nullptr && running->is_int64())
         result.running = static_cast<int>(running->get_int64());
     return result;
 }
