Outlier detection: an entry at whose address another upstream responds is left alone

What callers saw: beside a valid copy of an upstream's entry under another id, requests were refused with 503 for as long as the copy stood: 22 of 100 of a route that may be repeated, and 36 of 100 bookings, with one upstream and one copy.

Cause: the process at the address says that it is another one and has not run the request (421). That counted as any refusal, after which an upstream may be asked again at once; as nothing ran at the copy, it looked better than the upstream itself: 99 of 200 requests went there first.

Evidence: the counts above are of the new test on the code before, with 200 requests, and the same stand-in. The stand-in of upstreams now names the attempt in this response, as upstreams do in all of theirs; without it the response is taken for a late copy on a kept connection, which hid the fault and cost 3 s.

Why this works: such a response says something about the entry, not the request. The upstream is ejected like one that can't be reached, for 200 ms at first, doubled each time up to 30 s, and until its entry has another address or start. The test: at most eight refusals of 200, and an entry with its own address is used at once.

--- a/src/daemon/storewatcher.cpp
+++ b/src/daemon/storewatcher.cpp
@@ -401,10 +401,16 @@
          {"coldMs", static_cast<std::int64_t>(entry ? entry->coldRemaining.count() : 0)},
          {"reason", errorText(errors)},
          {"revision", static_cast<std::int64_t>(item.revision)}});
-    if (entry)
-        m_state.catalog.updateUpstream(std::move(*entry), {era, item.revision}, time);
-    else
+    if (!entry) {
         m_state.catalog.removeUpstream(id, {era, item.revision}, time);
+        return;
+    }
+    const UpstreamRecord *known = m_state.catalog.find(id);
+    const bool isElsewhere = known == nullptr || known->entry.address != entry->address
+                             || known->entry.startUnixMs != entry->startUnixMs;
+    if (isElsewhere)
+        m_state.outlierDetector.forgive(id);
+    m_state.catalog.updateUpstream(std::move(*entry), {era, item.revision}, time);
 }
 
 } // namespace chestnutsill
--- a/src/policy/outlierdetector.cpp
+++ b/src/policy/outlierdetector.cpp
@@ -11,11 +11,12 @@
 constexpr double ResultWeight = 0.2;
 /// The failure rate halves in this time without requests, so that the upstream is tried again.
 constexpr milliseconds HalfLife{2000};
-/// Ejection time after the first failed connection, and its maximum.
+/// Ejection time after the first failure, and its maximum for failed connections and for responses of others.
 constexpr milliseconds BaseEjectionTime{200};
-constexpr milliseconds MaxEjectionTime{2000};
+constexpr milliseconds MaxUnreachableTime{2000};
+constexpr milliseconds MaxReplacedTime{30'000};
 /// Doublings of the ejection time that reach its maximum.
-constexpr int MaxDoublings = 4;
+constexpr int MaxDoublings = 8;
 
 double decayed(double rate, Instant time)
 {
@@ -29,13 +30,14 @@
 {
     const auto found = m_records.try_emplace(std::string(upstream)).first;
     Record &record = found->second;
-    if (result == AttemptResult::Unreachable) {
-        const int doublings = std::min(record.consecutiveConnectFailures++, MaxDoublings);
-        record.ejectedUntil =
-            now + std::min<milliseconds>(BaseEjectionTime * (1 << doublings), MaxEjectionTime);
+    if (result == AttemptResult::Unreachable || result == AttemptResult::Replaced) {
+        const int doublings = std::min(record.consecutiveFailures++, MaxDoublings);
+        const milliseconds longest =
+            result == AttemptResult::Unreachable ? MaxUnreachableTime : MaxReplacedTime;
+        record.ejectedUntil = now + std::min<milliseconds>(BaseEjectionTime * (1 << doublings), longest);
         return;
     }
-    record.consecutiveConnectFailures = 0;
+    record.consecutiveFailures = 0;
     record.ejectedUntil = {};
     if (result == AttemptResult::Refused)
         return;
@@ -48,7 +50,7 @@
 void OutlierDetector::forgive(std::string_view upstream)
 {
     if (const auto found = m_records.find(upstream); found != m_records.end()) {
-        found->second.consecutiveConnectFailures = 0;
+        found->second.consecutiveFailures = 0;
         found->second.ejectedUntil = {};
     }
 }
--- a/src/router/attempt.cpp
+++ b/src/router/attempt.cpp
@@ -291,7 +291,9 @@
             response.maxIdleTime.reset();
         if (response.outcome == UpstreamResponse::Outcome::Stray && hasEnded && head->keepAlive)
             continue;
-        attempt.result = AttemptResult::Refused;
+        attempt.result = response.outcome == UpstreamResponse::Outcome::OtherIncarnation
+                             ? AttemptResult::Replaced
+                             : AttemptResult::Refused;
         attempt.verdict =
             response.outcome == UpstreamResponse::Outcome::Stray ? Verdict::MayHaveRun : Verdict::NotRun;
         attempt.reason =
--- a/tests/entry/oddentrytest.cpp
+++ b/tests/entry/oddentrytest.cpp
@@ -213,3 +213,40 @@
     CHECK(restartAll(site));
     checkServes(site, 2);
 }
+
+// Guards against an entry that takes requests of its service again and again.
+TEST_CASE("odd entry: a copy of an entry under another id is left alone when the upstream has said that it "
+          "isn't it")
+{
+    for (const std::string id : {"i-41&batch", "i-42+ %", "i-43"}) {
+        CAPTURE(id);
+        Site site("odd-copy");
+        site.addUpstream("i-40", "desk");
+        const Site::Upstream &desk = site.upstream("i-40");
+        const Site::Upstream copy{.id = id,
+                                  .service = desk.service,
+                                  .zone = desk.zone,
+                                  .address = {},
+                                  .publishedAddress = desk.publishedAddress};
+        site.publishUpstream(copy, "ready");
+        site.start(1);
+        REQUIRE(follows(site, 0, 2));
+        REQUIRE(support::waitUntil([&] { return site.readiness(0) == 200; }));
+        // For the route of bookings, one attempt that the copy takes is the only one of its request.
+        constexpr int Requests = 200;
+        int served = 0;
+        for (int i = 0; i < Requests; ++i) {
+            const auto answer = site.call(0, callTo("/booking/x", ""));
+            served += answer && answer->head.status == 200 ? 1 : 0;
+        }
+        // The first refusal, and at most one more each time that the copy is tried again, after 0.2 s, twice
+        // as long, and so on: eight in 50 s.
+        CHECK(served >= Requests - 8);
+        // An entry with its own address is used at once.
+        site.addUpstream(id, "desk");
+        CHECK(support::waitUntil([&] {
+            (void)site.call(0, callTo("/plain/x", ""));
+            return site.stat(site.upstream(id), "started").as_int64() > 0;
+        }));
+    }
+}
--- a/tests/policy/upstreamselectiontest.cpp
+++ b/tests/policy/upstreamselectiontest.cpp
@@ -314,6 +314,27 @@
     CHECK_FALSE(detector.isEjected("u1", seconds(12)));
 }
 
+TEST_CASE("outlier detector: an upstream at whose address others respond is ejected for up to 30 s, until it "
+          "is elsewhere")
+{
+    OutlierDetector detector;
+    Instant time = seconds(10);
+    detector.record("u1", AttemptResult::Replaced, time);
+    CHECK(detector.isEjected("u1", time + milliseconds(199)));
+    CHECK_FALSE(detector.isEjected("u1", time + milliseconds(200)));
+    for (int i = 0; i < 10; ++i)
+        detector.record("u1", AttemptResult::Replaced, time += seconds(30));
+    CHECK(detector.isEjected("u1", time + milliseconds(29'999)));
+    CHECK_FALSE(detector.isEjected("u1", time + seconds(30)));
+    CHECK(detector.failureRate("u1", time) == 0);
+    detector.forgive("u1");
+    CHECK_FALSE(detector.isEjected("u1", time));
+    // Failed connections after that are not taken for more of the same.
+    for (int i = 0; i < 10; ++i)
+        detector.record("u1", AttemptResult::Unreachable, time);
+    CHECK_FALSE(detector.isEjected("u1", time + seconds(2)));
+}
+
 TEST_CASE("outlier detector: failures count until requests succeed or time passes")
 {
     OutlierDetector detector;
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -57,7 +57,7 @@
             return answer(exchange, m_leaving ? 503 : 200, fields, "", fiber);
         }
         if (request.field("X-Expect-Instance") != m_id)
-            return answer(exchange, 421, {{"X-Replica-Id", m_id}}, "", fiber);
+            return answer(exchange, 421, {{"X-Replica-Id", m_id}, {"X-Attempt-Id", id}}, "", fiber);
         fields.push_back({"X-Attempt-Id", id});
         if (m_brittle > 0)
             fields.push_back({"Server-Brittle", std::to_string(m_brittle)});
