Published entries: an id with control characters names no upstream

What callers saw: while another writer's entry stood in the store, with a line break and "X-Tenant: other" in its id, requests reached the upstream in the name of another client account, or of none.

Cause: requests to an upstream carry its id in a field of their head, and the HTTP library writes values of fields as they are. A line break in the id ended the field, and the rest of the id was a field of its own.

Why this works: an entry whose id has a control character can't be read, so that no request carries the id. Other odd characters can't end a field, and such ids are used as before.

--- a/tests/entry/oddentrytest.cpp
+++ b/tests/entry/oddentrytest.cpp
@@ -250,3 +250,29 @@
         }));
     }
 }
+
+// Guards against ids that add fields to the head of a request.
+TEST_CASE("odd entry: an id with control characters names no upstream, and adds nothing to requests")
+{
+    Site site("odd-id");
+    site.addUpstream("i-40", "desk");
+    const Site::Upstream &desk = site.upstream("i-40");
+    for (const char *id : {"i-40\r\nX-Tenant: other", "i-40\nX-Tenant: other",
+                           "i-40\r\n\r\nGET /a HTTP/1.1\r\n\r\n", "i-40\x01", "i-40\x7f"}) {
+        const Site::Upstream copy{.id = id,
+                                  .service = desk.service,
+                                  .zone = desk.zone,
+                                  .address = {},
+                                  .publishedAddress = desk.publishedAddress};
+        site.publishUpstream(copy, "ready");
+    }
+    site.start(1);
+    CHECK(support::waitUntil([&] { return site.readiness(0) == 200; }));
+    CHECK(follows(site, 0, 1));
+    for (int i = 0; i < 50; ++i) {
+        const auto answer = site.call(0, callTo("/plain/x", ""));
+        const bool isServed = answer && answer->head.status == 200;
+        CHECK(isServed);
+        CHECK(site.stat(desk, "account") == "account-1");
+    }
+}
--- a/tests/platform/publishedtest.cpp
+++ b/tests/platform/publishedtest.cpp
@@ -132,6 +132,19 @@
     CHECK_FALSE(platform::parseUpstreamEntry("u1", "[]", errors));
 }
 
+TEST_CASE("published: an entry whose id can't stand in a field of a request is rejected")
+{
+    using namespace std::string_view_literals;
+    for (const std::string_view id : {"u\r\nX-Tenant: a"sv, "u\n"sv, "\0u"sv, "u\t"sv, "u\x7f"sv}) {
+        ValidationErrors errors;
+        CHECK_FALSE(platform::parseUpstreamEntry(id, Entry, errors));
+        REQUIRE(errors.size() == 1);
+        CHECK(errors[0].path == "id");
+    }
+    ValidationErrors errors;
+    CHECK(platform::parseUpstreamEntry("u 1&+\xff", Entry, errors));
+}
+
 TEST_CASE("published: keys of items are decoded")
 {
     CHECK(platform::parseItemKey("op/config").kind == ItemKey::Kind::Table);
