Published tables: halves of surrogate pairs don't make a table unreadable

What callers saw: when the operator had published a table with half of a surrogate pair in any string, for example one API key of many, the former table stayed in force (callers with a new key got 401), and after a restart of all instances none got ready.

Cause: the same as for the items of the store: Boost.JSON refuses a document for one such string, though JSON's grammar allows it, so that a store that checks the document can accept it.

Why this works: before the table is parsed, the bytes of its code point stand for each such half. Names are compared as bytes, so they match as before. API keys with a half are counted with those that are no strings and left out, because no caller can send one.

--- a/include/chestnutsill/config/jsonparts.h
+++ b/include/chestnutsill/config/jsonparts.h
@@ -32,4 +32,11 @@
 /// string for text that is not in quotes.
 [[nodiscard]] std::string decodeJsonString(std::string_view text, LoneSurrogate loneSurrogate);
 
+/// JSON text in which the bytes of their code points stand for the escapes of lone surrogates, which the
+/// grammar allows and parsers refuse. The result is not UTF-8 if there are any.
+[[nodiscard]] std::string replaceLoneSurrogates(std::string_view text);
+
+/// Whether a decoded string has the bytes of a lone surrogate's code point.
+[[nodiscard]] bool hasLoneSurrogate(std::string_view text) noexcept;
+
 } // namespace chestnutsill
--- a/src/config/jsonparts.cpp
+++ b/src/config/jsonparts.cpp
@@ -1,5 +1,6 @@
 #include "chestnutsill/config/jsonparts.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -82,6 +83,20 @@
     }
 }
 
+constexpr std::uint32_t FirstHighSurrogate = 0xD800;
+constexpr std::uint32_t FirstLowSurrogate = 0xDC00;
+constexpr std::uint32_t LastLowSurrogate = 0xDFFF;
+
+bool isHighSurrogate(std::uint32_t unit) noexcept
+{
+    return unit >= FirstHighSurrogate && unit < FirstLowSurrogate;
+}
+
+bool isLowSurrogate(std::uint32_t unit) noexcept
+{
+    return unit >= FirstLowSurrogate && unit <= LastLowSurrogate;
+}
+
 /// Code unit of the escape `\uXXXX` at the start of the text.
 std::optional<std::uint32_t> codeUnit(std::string_view text) noexcept
 {
@@ -94,18 +109,25 @@
     return error == std::errc() && stop == end ? std::optional(unit) : std::nullopt;
 }
 
-constexpr std::uint32_t FirstHighSurrogate = 0xD800;
-constexpr std::uint32_t FirstLowSurrogate = 0xDC00;
-constexpr std::uint32_t LastLowSurrogate = 0xDFFF;
-
-bool isHighSurrogate(std::uint32_t unit) noexcept
+/// An escape of a code point, which is a surrogate if that has no other half.
+struct UnicodeEscape
 {
-    return unit >= FirstHighSurrogate && unit < FirstLowSurrogate;
-}
+    std::uint32_t codePoint = 0;
+    std::size_t size = 0;
+};
 
-bool isLowSurrogate(std::uint32_t unit) noexcept
+/// The escape of a code point at the start of the text, in one code unit or two.
+std::optional<UnicodeEscape> unicodeEscape(std::string_view text) noexcept
 {
-    return unit >= FirstLowSurrogate && unit <= LastLowSurrogate;
+    constexpr std::size_t UnitSize = 6;
+    const auto unit = codeUnit(text);
+    if (!unit)
+        return std::nullopt;
+    const auto next = isHighSurrogate(*unit) ? codeUnit(text.substr(UnitSize)) : std::nullopt;
+    if (next && isLowSurrogate(*next))
+        return UnicodeEscape{0x10000 + ((*unit - FirstHighSurrogate) << 10) + (*next - FirstLowSurrogate),
+                             2 * UnitSize};
+    return UnicodeEscape{*unit, UnitSize};
 }
 
 /// Appends a code point, which may be a surrogate, in the form of UTF-8.
@@ -152,25 +174,34 @@
 /// Appends the character of the escape sequence at the start of the text. Returns the size of the sequence.
 std::size_t appendEscape(std::string &out, std::string_view text, LoneSurrogate loneSurrogate)
 {
-    constexpr std::size_t UnitSize = 6;
     constexpr std::uint32_t FirstByte = FirstLowSurrogate + 0x80;
     constexpr std::uint32_t LastByte = FirstLowSurrogate + 0xFF;
-    const auto unit = codeUnit(text);
-    if (!unit) {
+    const auto escape = unicodeEscape(text);
+    if (!escape) {
         if (text.size() > 1)
             out += unescaped(text[1]);
         return 2;
     }
-    const auto next = isHighSurrogate(*unit) ? codeUnit(text.substr(UnitSize)) : std::nullopt;
-    if (next && isLowSurrogate(*next)) {
-        appendUtf8(out, 0x10000 + ((*unit - FirstHighSurrogate) << 10) + (*next - FirstLowSurrogate));
-        return 2 * UnitSize;
-    }
-    if (loneSurrogate == LoneSurrogate::Byte && *unit >= FirstByte && *unit <= LastByte)
-        out += static_cast<char>(*unit - FirstLowSurrogate);
+    const std::uint32_t codePoint = escape->codePoint;
+    if (loneSurrogate == LoneSurrogate::Byte && codePoint >= FirstByte && codePoint <= LastByte)
+        out += static_cast<char>(codePoint - FirstLowSurrogate);
     else
-        appendUtf8(out, *unit);
-    return UnitSize;
+        appendUtf8(out, codePoint);
+    return escape->size;
+}
+
+/// Copies text to `out`, except its escape sequences: for each one `replace` appends what stands for it, and
+/// returns its size.
+template<typename Replace>
+void replaceEscapes(std::string_view text, std::string &out, const Replace &replace)
+{
+    while (!text.empty()) {
+        const std::size_t plain = std::min(text.find('\\'), text.size());
+        out += text.substr(0, plain);
+        text.remove_prefix(plain);
+        if (!text.empty())
+            text.remove_prefix(std::min(replace(text), text.size()));
+    }
 }
 
 } // namespace
@@ -199,15 +230,39 @@
     std::string decoded;
     if (text.size() < 2 || !text.starts_with('"') || !text.ends_with('"'))
         return decoded;
-    text = text.substr(1, text.size() - 2);
-    while (!text.empty()) {
-        const std::size_t plain = std::min(text.find('\\'), text.size());
-        decoded += text.substr(0, plain);
-        text.remove_prefix(plain);
-        if (!text.empty())
-            text.remove_prefix(std::min(appendEscape(decoded, text, loneSurrogate), text.size()));
-    }
+    replaceEscapes(text.substr(1, text.size() - 2), decoded,
+                   [&](std::string_view escape) { return appendEscape(decoded, escape, loneSurrogate); });
     return decoded;
 }
 
+std::string replaceLoneSurrogates(std::string_view text)
+{
+    std::string replaced;
+    replaced.reserve(text.size());
+    replaceEscapes(text, replaced, [&](std::string_view sequence) {
+        const auto escape = unicodeEscape(sequence);
+        const bool isLone =
+            escape && (isHighSurrogate(escape->codePoint) || isLowSurrogate(escape->codePoint));
+        const std::size_t size = escape ? escape->size : 2;
+        if (isLone)
+            appendUtf8(replaced, escape->codePoint);
+        else
+            replaced += sequence.substr(0, size);
+        return size;
+    });
+    return replaced;
+}
+
+bool hasLoneSurrogate(std::string_view text) noexcept
+{
+    // No other code point has these bytes.
+    constexpr char FirstByte = '\xED';
+    constexpr unsigned char MinSecondByte = 0xA0;
+    for (std::size_t i = 0; i + 1 < text.size(); ++i) {
+        if (text[i] == FirstByte && static_cast<unsigned char>(text[i + 1]) >= MinSecondByte)
+            return true;
+    }
+    return false;
+}
+
 } // namespace chestnutsill
--- a/tests/config/jsonpartstest.cpp
+++ b/tests/config/jsonpartstest.cpp
@@ -94,6 +94,18 @@
     CHECK(decodeJsonString(R"("a\udc80\udcff")", LoneSurrogate::Byte) == "a\x80\xff");
 }
 
+TEST_CASE("json parts: the bytes of lone surrogates stand for their escapes, and other text is unchanged")
+{
+    CHECK(replaceLoneSurrogates(R"({"a\udcff":"\ud83d\ude00 \\udcff \" \ud83d \u12"})")
+          == "{\"a\xED\xB3\xBF\":\"\\ud83d\\ude00 \\\\udcff \\\" \xED\xA0\xBD \\u12\"}");
+    CHECK(replaceLoneSurrogates("\\") == "\\");
+    CHECK(replaceLoneSurrogates("").empty());
+    CHECK(hasLoneSurrogate("a\xED\xB3\xBF"));
+    CHECK(hasLoneSurrogate("\xED\xA0\x80z"));
+    // U+D7FF, the last code point before the surrogates.
+    CHECK_FALSE(hasLoneSurrogate("a\xED\x9F\xBFz\xED"));
+}
+
 TEST_CASE("json parts: strings and parts of valid documents are those that the parser finds")
 {
     std::mt19937 random(1);
--- a/tests/entry/oddentrytest.cpp
+++ b/tests/entry/oddentrytest.cpp
@@ -276,3 +276,32 @@
         CHECK(site.stat(desk, "account") == "account-1");
     }
 }
+
+TEST_CASE("odd entry: a routing table with halves of surrogate pairs is in force, also after a restart")
+{
+    Site site("odd-table");
+    site.addUpstream("i-40", "desk");
+    site.start(2);
+    REQUIRE(site.waitReady());
+    boost::json::object table = site.table();
+    table["version"] = 1000;
+    table["tenants"].as_array().push_back(
+        {{"name", "account-new"}, {"api_keys", {"key-new"}}, {"priority", 1}});
+    std::string text = boost::json::serialize(table);
+    const std::string_view key = R"("key-new")";
+    text.replace(text.find(key), key.size(), R"("\udcff","key-new"],"note":["\ud83d")");
+    site.writeItem("op/config", text);
+    support::SiteCall request = callTo("/plain/x", "");
+    request.key = "key-new";
+    const auto serves = [&](std::size_t instance) {
+        return support::waitUntil([&] {
+            const auto answer = site.call(instance, request);
+            return answer && answer->head.status == 200;
+        });
+    };
+    CHECK(serves(0));
+    CHECK(serves(1));
+    CHECK(restartAll(site));
+    CHECK(serves(0));
+    CHECK(serves(1));
+}
--- a/tests/platform/publishedtest.cpp
+++ b/tests/platform/publishedtest.cpp
@@ -101,6 +101,27 @@
     }
 }
 
+// Guards against a table that is refused for one string that nobody can send.
+TEST_CASE("published: halves of surrogate pairs leave the rest of a table, and keys with one are left out")
+{
+    std::string text = Table;
+    const auto replace = [&](std::string_view from, std::string_view to) {
+        text.replace(text.find(from), from.size(), to);
+    };
+    replace(R"("k1")", R"("k1", "k\udcff", "\ud83d")");
+    replace(R"("name": "r2")", R"("name": "r2\udcff", "note": "\ud800")");
+    replace(R"("name": "t2")", R"("name": "t2\udfff")");
+    ValidationErrors errors;
+    const auto document = platform::parseTableDocument(text, errors);
+    REQUIRE(document);
+    CHECK(errors.empty());
+    CHECK(document->accounts[0].keys == std::vector<std::string>{"k1", "k2"});
+    CHECK(document->accounts[0].ignoredKeys == 2);
+    CHECK(document->accounts[1].account.name == "t2\xED\xBF\xBF");
+    CHECK(document->routes[1].route.name == "r2\xED\xB3\xBF");
+    CHECK(document->routes[1].route.pathPrefix == "/b/");
+}
+
 TEST_CASE("published: the entry of an upstream is decoded")
 {
     ValidationErrors errors;
