--- a/src/config/jsonparts.cpp
+++ b/src/config/jsonparts.cpp
@@ -20,11 +20,12 @@
 /// Position after the string that begins at `at`; the size of the text if it doesn't end.
 std::size_t endOfString(std::string_view text, std::size_t at) noexcept
 {
-    for (++at; at < text.size(); ++at) {
-        if (text[at] == '\\')
-            ++at;
-        else if (text[at] == '"')
-            return at + 1;
+    // Values of a megabyte are common; searching for the quote is faster than looking at each character.
+    for (std::size_t quote = text.find('"', at + 1); quote != std::string_view::npos;
+         quote = text.find('"', quote + 1)) {
+        const std::size_t backslashes = quote - 1 - text.find_last_not_of('\\', quote - 1);
+        if (backslashes % 2 == 0)
+            return quote + 1;
     }
     return text.size();
 }
