Store: a key with the escape of half of a pair may be held as that text

A store that writes keys into its responses as they are has the six characters of the escape in the key, which sort before all bytes that are not ASCII. A page that holds only such an item was followed by one after the key's other forms, so that items between were passed over: 'servers/i-a' beside 'servers/i-\udcff' in the new rows of the tests, which fail without this change for pages of one item. The text is one more position, and the lowest one.

--- a/tests/platform/keypositionstest.cpp
+++ b/tests/platform/keypositionstest.cpp
@@ -18,11 +18,12 @@
     CHECK(keyPositions("").keys.empty());
 }
 
-TEST_CASE("key positions: half of a surrogate pair stands for its code point or a byte, in ascending order")
+TEST_CASE(
+    "key positions: half of a surrogate pair stands for its escape, code point or a byte, in ascending order")
 {
-    CHECK(keyPositions(R"("a\udc80b")").keys == Keys{"a\x80\x62", "a\xED\xB2\x80\x62"});
-    CHECK(keyPositions(R"("a\udcffb")").keys == Keys{"a\xED\xB3\xBF\x62", "a\xff\x62"});
-    CHECK(keyPositions(R"("a\ud83d")").keys == Keys{"a\xED\xA0\xBD"});
+    CHECK(keyPositions(R"("a\udc80b")").keys == Keys{R"(a\udc80b)", "a\x80\x62", "a\xED\xB2\x80\x62"});
+    CHECK(keyPositions(R"("a\udcffb")").keys == Keys{R"(a\udcffb)", "a\xED\xB3\xBF\x62", "a\xff\x62"});
+    CHECK(keyPositions(R"("a\ud83d")").keys == Keys{R"(a\ud83d)", "a\xED\xA0\xBD"});
 }
 
 TEST_CASE("key positions: the next ASCII key is after all that begin like one that is not ASCII")
--- a/tests/platform/storetest.cpp
+++ b/tests/platform/storetest.cpp
@@ -249,6 +249,7 @@
     {"servers/i-\xED\xB2\x80", R"("servers/i-\udc80")"},
     {"servers/i-\xED\xB3\xBF", R"("servers/i-\udcff")"},
     {"servers/i-\xED\xA0\xBD", R"("servers/i-\ud83d")"},
+    {R"(servers/i-\udcff)", R"("servers/i-\udcff")"},
     {"servers/i-\xff", "\"servers/i-\xEF\xBF\xBD\""},
     {"servers/i-\xff", "\"servers/i-\xC3\xBF\""},
     {"op/\xff", R"("op/\udcff")"},
@@ -267,10 +268,11 @@
     PagedStore store;
     store.keyReading = reading;
     store.pageSize = pageSize;
-    std::vector<std::string> expected{"op/config",      "servers/a",  "servers/i-",  "servers/i-0",
-                                      "servers/i-\x7f", "servers/i.", "servers/i.0", "servers/z"};
+    std::vector<std::string> expected{"op/config",   "servers/a",   "servers/i-",
+                                      "servers/i-0", "servers/i-a", "servers/i-\x7f",
+                                      "servers/i.",  "servers/i.0", "servers/z"};
     if (nonAscii)
-        expected.insert(expected.begin() + 5,
+        expected.insert(expected.begin() + 6,
                         {"servers/i-\xC3\xA9", "servers/i-\xEE\x80\x80", "servers/i-\xF0\x9F\x98\x80"});
     for (const std::string &key : expected)
         store.values[key];
