--- a/tests/entry/oddentrytest.cpp
+++ b/tests/entry/oddentrytest.cpp
@@ -54,6 +54,17 @@
     }
 }
 
+/// Publishes the entry of an upstream a second time, under another id.
+void publishCopy(Site &site, const Site::Upstream &upstream, const std::string &id)
+{
+    site.publishUpstream({.id = id,
+                          .service = upstream.service,
+                          .zone = upstream.zone,
+                          .address = {},
+                          .publishedAddress = upstream.publishedAddress},
+                         "ready");
+}
+
 /// Pages as large as those of the platform's store.
 constexpr const char *LargePages = R"({"pageItems":500,"pageBytes":1000000})";
 
@@ -223,13 +234,7 @@
         CAPTURE(id);
         Site site("odd-copy");
         site.addUpstream("i-40", "desk");
-        const Site::Upstream &desk = site.upstream("i-40");
-        const Site::Upstream copy{.id = id,
-                                  .service = desk.service,
-                                  .zone = desk.zone,
-                                  .address = {},
-                                  .publishedAddress = desk.publishedAddress};
-        site.publishUpstream(copy, "ready");
+        publishCopy(site, site.upstream("i-40"), id);
         site.start(1);
         REQUIRE(follows(site, 0, 2));
         REQUIRE(support::waitUntil([&] { return site.readiness(0) == 200; }));
@@ -259,14 +264,8 @@
     site.addUpstream("i-40", "desk");
     const Site::Upstream &desk = site.upstream("i-40");
     for (const char *id : {"i-40\r\nX-Tenant: other", "i-40\nX-Tenant: other",
-                           "i-40\r\n\r\nGET /a HTTP/1.1\r\n\r\n", "i-40\x01", "i-40\x7f"}) {
-        const Site::Upstream copy{.id = id,
-                                  .service = desk.service,
-                                  .zone = desk.zone,
-                                  .address = {},
-                                  .publishedAddress = desk.publishedAddress};
-        site.publishUpstream(copy, "ready");
-    }
+                           "i-40\r\n\r\nGET /a HTTP/1.1\r\n\r\n", "i-40\x01", "i-40\x7f"})
+        publishCopy(site, desk, id);
     site.start(1);
     CHECK(support::waitUntil([&] { return site.readiness(0) == 200; }));
     CHECK(follows(site, 0, 1));
