Hedging tests: a request that is denied a second attempt is sent again

Cause: an instance denies second attempts while most of the last answers of the service or of the other upstream were slower than usual (docs/design/hedged-requests.md, Limits, 5), and does not ask again for that request. Answers slow down when other processes take the processor for a moment before the request is sent.

Evidence: with the counters of denials printed, the second test failed once in 36 runs, three at a time, beside bursts of 150 busy processes. The instance had started 5 second attempts, all for earlier requests, and denied 1 as no-upstream and 2 as slow-service; the upstreams had run the request once. 15 runs alone and 192 beside less load passed.

The tests now send requests until one gets its second attempt, as the other tests of the file do, at most 40 times. What they check then is unchanged; requests without a second attempt are checked too: each attempt of a caller that leaves ends, and others are answered. If none gets one, the counters of denials are printed.

--- a/tests/entry/hedgingtest.cpp
+++ b/tests/entry/hedgingtest.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <future>
+#include <sstream>
 #include <thread>
 
 using namespace chestnutsill;
@@ -61,6 +62,25 @@
     return sum;
 }
 
+/// Lines of the metrics of an instance that say which second attempts it made, and why not others.
+std::string hedgeMetrics(Site &site)
+{
+    const auto page = support::call(site.address(0, site.metricsPort()), "GET", "/metrics");
+    std::istringstream text(page ? page->body : std::string());
+    std::string lines;
+    for (std::string line; std::getline(text, line);) {
+        if (line.starts_with("chestnutsill_hedges"))
+            lines += line + '\n';
+    }
+    return lines;
+}
+
+/// Requests that are sent until one gets a second attempt, which instances may deny, for example while
+/// answers have become slower.
+constexpr int MaxHedgeTries = 40;
+/// Earns second attempts, and keeps slow answers well below the quantile after which one starts.
+constexpr int FastRequests = 30;
+
 /// Answer to a request, and how it came about.
 struct Played
 {
@@ -77,11 +97,8 @@
 Played play(Site &site, const std::string &path, const std::string &service, const std::string &commands,
             std::optional<bool> beginsAtFirst)
 {
-    constexpr int MaxTries = 40;
-    /// Earns second attempts, and keeps slow answers well below the quantile after which one starts.
-    constexpr int FastRequests = 30;
     Played played;
-    for (int i = 0; i < MaxTries; ++i) {
+    for (int i = 0; i < MaxHedgeTries; ++i) {
         sendFastRequests(site, path, FastRequests);
         played.id = "played-" + std::to_string(Clock::now().time_since_epoch().count());
         const auto start = Clock::now();
@@ -320,28 +337,55 @@
     startSite(site, "desk", 1);
     sendFastRequests(site, "/plain/x", LearningRequests);
     const auto slow = commandsAt(R"("desk-1":{"workMs":900},"desk-2":{"workMs":900})");
-    const auto abandonedBefore = abandoned(site);
-    support::SiteCall call = callTo("/plain/x", "leaving", slow);
-    call.timeout = milliseconds(400);
-    CHECK(!site.call(0, call));
-    CHECK(site.runsOf("leaving") == 2);
-    CHECK(waitUntil([&] { return abandoned(site) == abandonedBefore + 2; }));
+    std::int64_t runs = 0;
+    bool isHedged = false;
+    for (int i = 0; i < MaxHedgeTries && !isHedged; ++i) {
+        sendFastRequests(site, "/plain/x", FastRequests);
+        const std::string id = "leaving-" + std::to_string(i);
+        CAPTURE(id);
+        const auto abandonedBefore = abandoned(site);
+        support::SiteCall call = callTo("/plain/x", id, slow);
+        call.timeout = milliseconds(400);
+        CHECK(!site.call(0, call));
+        CHECK(waitUntil([&] { return abandoned(site) == abandonedBefore + site.runsOf(id); }));
+        isHedged = site.runsOf(id) == 2;
+        runs += site.runsOf(id);
+    }
+    CAPTURE(hedgeMetrics(site));
+    REQUIRE(isHedged);
     sendFastRequests(site, "/plain/x", 4);
     const auto reasons = site.logged(0, "attempt-failed", "reason");
-    CHECK(std::count(reasons.begin(), reasons.end(), boost::json::value("caller-gone")) == 2);
+    CHECK(std::count(reasons.begin(), reasons.end(), boost::json::value("caller-gone")) == runs);
 }
 
 TEST_CASE("hedging: an instance that stops while both attempts run answers the caller")
 {
+    /// After this wait for the second attempt, both take longer than the grace time.
+    constexpr milliseconds MaxWait{500};
     Site site("hedge-stop");
     site.setTerminationGrace(2);
     startSite(site, "desk", 1);
     sendFastRequests(site, "/plain/x", LearningRequests);
     const auto slow = commandsAt(R"("desk-1":{"workMs":2800},"desk-2":{"workMs":2800})");
-    const auto abandonedBefore = abandoned(site);
-    auto answer =
-        std::async(std::launch::async, [&] { return site.call(0, callTo("/plain/x", "stopped", slow)); });
-    REQUIRE(waitUntil([&] { return site.runsOf("stopped") == 2; }));
+    std::future<std::optional<HttpResponse>> answer;
+    std::int64_t abandonedBefore = 0;
+    bool isHedged = false;
+    for (int i = 0; i < MaxHedgeTries && !isHedged; ++i) {
+        sendFastRequests(site, "/plain/x", FastRequests);
+        const std::string id = "stopped-" + std::to_string(i);
+        CAPTURE(id);
+        abandonedBefore = abandoned(site);
+        answer =
+            std::async(std::launch::async, [&, id] { return site.call(0, callTo("/plain/x", id, slow)); });
+        isHedged = waitUntil([&] { return site.runsOf(id) == 2; }, MaxWait);
+        if (!isHedged) {
+            const auto response = answer.get();
+            REQUIRE(response);
+            CHECK(response->head.status == 200);
+        }
+    }
+    CAPTURE(hedgeMetrics(site));
+    REQUIRE(isHedged);
     site.instances()[0].process->signal(SIGTERM);
     const auto response = answer.get();
     REQUIRE(response);
