--- a/review/support-3/site.h
+++ b/review/support-3/site.h
@@ -186,9 +186,8 @@
     /// Whether the other side has closed the connection.
     [[nodiscard]] bool isClosed() const
     {
-        char byte = 0;
-        const auto count = ::recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+        pollfd state{m_descriptor, POLLRDHUP, 0};
+        return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
 
     /// Ends the connection in both directions, also while another thread reads from it.
@@ -447,6 +446,17 @@
         m_server.stop();
     }
 
+    /// Acknowledges a write and goes away before a watch has been told of it.
+    void putAndGoAway(const std::string &key, const std::string &value)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            ++m_cuts;
+            store({key, value, 0, false});
+        }
+        goAway();
+    }
+
     void comeBack(bool fromCopy)
     {
         {
@@ -533,6 +543,11 @@
     void write(Item item)
     {
         const std::lock_guard lock(m_mutex);
+        store(std::move(item));
+    }
+
+    void store(Item item)
+    {
         item.revision = ++m_revision;
         if (item.deleted)
             m_items.erase(item.key);
